--- /dev/null
+++ b/cmd/tillerctl/main.go
@@ -0,0 +1,4 @@
+// Command tillerctl is a program of carawaytiller.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/tillerd/main.go
@@ -0,0 +1,4 @@
+// Command tillerd is a program of carawaytiller.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/tillerfake/main.go
@@ -0,0 +1,4 @@
+// Command tillerfake is a program of carawaytiller.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/tillerload/main.go
@@ -0,0 +1,4 @@
+// Command tillerload is a program of carawaytiller.
+package main
+
+func main() {}
--- /dev/null
+++ b/reducer/effect.go
@@ -0,0 +1,82 @@
+package reducer
+
+import tiller "github.com/carawaytiller/carawaytiller"
+
+// Effect is something that the runner is to carry out.
+type Effect interface{ effect() }
+
+// ForwardID identifies a query forwarded to a peer.
+type ForwardID uint64
+
+// SendAttempt sends a request to an upstream.
+type SendAttempt struct {
+	Upstream string
+	Address  string
+	Request  tiller.SearchRequest
+	// ValidUntil is the time after which the runner drops the effect and
+	// reports AttemptFailed with NotRun and ReasonLeaseExpired.
+	ValidUntil tiller.Millis
+	// Fresh asks for a connection that has carried bytes in the last second, or a new one.
+	Fresh bool
+}
+
+// CancelAttempt cancels an attempt; nothing more is expected from it.
+type CancelAttempt struct {
+	Attempt tiller.AttemptID
+	Reason  tiller.Reason
+}
+
+// Reply ends a query with its result.
+type Reply struct {
+	Caller string
+	ID     tiller.RequestID
+	// To is the seat that forwarded the query, or LocalCaller.
+	To     int
+	Result tiller.Result
+}
+
+// IssueToken answers a TokenRequested.
+type IssueToken struct {
+	Ref     uint64
+	Token   string
+	Expires tiller.Millis
+	// Refusal is set instead of Token when no token can be issued.
+	Refusal *tiller.Refusal
+}
+
+// Forward sends a query to the daemon that holds a seat.
+type Forward struct {
+	Forward   ForwardID
+	Seat      int
+	Query     tiller.Query
+	Redirects int
+}
+
+// SendLease sends a message of the lease protocol to a seat.
+type SendLease struct {
+	To      int
+	Message LeasePayload
+}
+
+// Wake asks for a TimeAdvanced event at a time. A later Wake replaces an earlier one.
+type Wake struct{ Time tiller.Millis }
+
+// Count adds to a counter, such as "refusal" with the label "QueueFull".
+type Count struct {
+	Name  string
+	Label tiller.Reason
+	N     int64
+}
+
+// Stopped says that nothing accepted is left and the daemon may end.
+type Stopped struct{}
+
+func (SendAttempt) effect()   {}
+func (CancelAttempt) effect() {}
+func (Reply) effect()         {}
+func (IssueToken) effect()    {}
+func (Forward) effect()       {}
+func (SendLease) effect()     {}
+func (Wake) effect()          {}
+func (Count) effect()         {}
+func (Stopped) effect()       {}
