--- /dev/null
+++ b/api/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller is the generated HTTP interface described in caller.yaml.
+package caller
--- /dev/null
+++ b/api/platform/doc.go
@@ -0,0 +1,2 @@
+// Package platform is the generated HTTP interface described in platform.yaml.
+package platform
