--- a/tracker/message.go
+++ b/tracker/message.go
@@ -27,6 +27,8 @@
 type Message struct {
 	Kind MessageKind
 	Unit UnitID
+	// Epoch identifies the voter sets that the sender goes by.
+	Epoch uint64
 	// Seat and Incarnation name the candidate that asks or holds.
 	Seat        int
 	Incarnation int64
