Add the runner that owns a daemon's state

The reducer needs one goroutine that stamps events with time and random numbers and carries out effects without blocking.

Failure gets RetryAfter, so that an upstream's hint reaches AttemptFailed.

--- a/failure.go
+++ b/failure.go
@@ -6,6 +6,8 @@
 type Failure struct {
 	Verdict Verdict
 	Reason  Reason
+	// RetryAfter is the upstream's hint on when to ask again; 0 when it gave none.
+	RetryAfter Millis
 	// Err is the underlying error; it may be nil.
 	Err error
 }
--- /dev/null
+++ b/runner/effect.go
@@ -0,0 +1,46 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/carawaytiller/carawaytiller/reducer"
+)
+
+// carryOut starts or performs one effect. It never blocks.
+func (r *Runner) carryOut(effect reducer.Effect) {
+	switch e := effect.(type) {
+	case reducer.SendAttempt:
+		r.startAttempt(e)
+	case reducer.CancelAttempt:
+		r.cancelAttempt(e)
+	case reducer.Reply:
+		r.reply(e)
+	case reducer.IssueToken:
+		r.issueToken(e)
+	case reducer.Forward:
+		r.startForward(e)
+	case reducer.SendLease:
+		r.cfg.SendLease(e)
+	case reducer.Wake:
+		r.wake(e)
+	case reducer.Count:
+		r.cfg.Count(e.Name, e.Label, e.N)
+	case reducer.Stopped:
+		r.setStopped()
+	}
+}
+
+// wake sets the one timer. A time that has passed fires after a millisecond,
+// so that a reducer that keeps asking for the past cannot occupy a core.
+func (r *Runner) wake(e reducer.Wake) {
+	d := (e.Time - r.cfg.Clock.Now()).Duration()
+	r.timer.Reset(max(d, time.Millisecond))
+}
+
+func (r *Runner) setStopped() {
+	if r.isStopped {
+		return
+	}
+	r.isStopped = true
+	close(r.stopped)
+}
--- /dev/null
+++ b/runner/stop.go
@@ -0,0 +1,58 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/reducer"
+)
+
+// Stop stops as planned: the reducer finishes what it accepted. When ctx ends first, the rest is
+// abandoned, its callers get refusals, and the error says how many there were.
+// Stop returns when every goroutine of the runner has ended.
+func (r *Runner) Stop(ctx context.Context) error {
+	r.Post(func(s reducer.Stamp) reducer.Event { return reducer.StopRequested{Stamp: s} })
+	var cause error
+	select {
+	case <-r.stopped:
+	case <-r.ended:
+	case <-ctx.Done():
+		cause = ctx.Err()
+	}
+	left := 0
+	if cause != nil {
+		_ = r.View(func() { left = len(r.waiting) })
+	}
+	r.Close()
+	if cause != nil {
+		return fmt.Errorf("stop abandoned %d queries: %w", left, cause)
+	}
+	return nil
+}
+
+// Close ends the runner at once. Callers that still wait get refusals with ReasonStopping.
+func (r *Runner) Close() {
+	r.endOnce.Do(func() { close(r.end) })
+	<-r.ended
+	r.tasks.Wait()
+}
+
+// Stopped is closed when the reducer says that nothing accepted is left.
+func (r *Runner) Stopped() <-chan struct{} {
+	return r.stopped
+}
+
+// release refuses what still waits. It runs last on the owner goroutine.
+func (r *Runner) release() {
+	r.timer.Stop()
+	r.abandon()
+	for _, waiters := range r.waiting {
+		for _, w := range waiters {
+			refusal := r.refuse(tiller.MayHaveRun, tiller.ReasonStopping, 0)
+			refusal.ID = w.key.id
+			w.result <- tiller.Result{Refusal: refusal}
+		}
+	}
+	r.waiting = nil
+}
