Add the dialer for upstream connections

Attempts need a true verdict, connections that are cheap to cancel on, and an end to connections that carry nothing any more.

Each connection is a net/http ClientConn over a metered net.Conn: HTTP/2 cleartext with prior knowledge, HTTP/1.1 where the upstream does not speak it. A ClientConn has no pool that could send a request twice.

--- /dev/null
+++ b/dialer/dialer.go
@@ -0,0 +1,136 @@
+package dialer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// Dialer keeps the connections to upstreams.
+type Dialer struct {
+	cfg   Config
+	http2 *http.Transport
+	http1 *http.Transport
+
+	base  context.Context
+	end   context.CancelFunc
+	tasks sync.WaitGroup
+
+	mu sync.Mutex
+	// pools is nil once the dialer is closed.
+	pools map[string]*pool
+}
+
+// New returns a Dialer without connections. Close ends it.
+func New(cfg Config) *Dialer {
+	base, end := context.WithCancel(context.Background())
+	return &Dialer{
+		cfg:   cfg.withDefaults(),
+		http2: newTransport(true),
+		http1: newTransport(false),
+		base:  base,
+		end:   end,
+		pools: make(map[string]*pool),
+	}
+}
+
+// newTransport returns a Transport that only makes ClientConns, over the net.Conn in the context.
+func newTransport(isHTTP2 bool) *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(isHTTP2)
+	protocols.SetHTTP1(!isHTTP2)
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return ctx.Value(meterKey{}).(*meter), nil
+		},
+		Protocols:              protocols,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// Apply sets the upstreams and their limits. Connections to an upstream that is not among targets,
+// or that has a new address, are closed when their attempts have ended.
+func (d *Dialer) Apply(targets []Target) {
+	named := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		named[t.Name] = true
+		if p := d.pool(t.Name, t.Address); p != nil {
+			p.apply(t)
+		}
+	}
+	for _, p := range d.removeOthers(named) {
+		p.retireAll()
+	}
+}
+
+// removeOthers removes and returns the pools whose upstreams are not named.
+func (d *Dialer) removeOthers(named map[string]bool) []*pool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var removed []*pool
+	for name, p := range d.pools {
+		if !named[name] {
+			removed = append(removed, p)
+			delete(d.pools, name)
+		}
+	}
+	return removed
+}
+
+// pool returns the pool of an upstream, or nil when the dialer is closed.
+func (d *Dialer) pool(name, address string) *pool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.pools == nil {
+		return nil
+	}
+	p, ok := d.pools[name]
+	if !ok {
+		p = newPool(d, name, address)
+		d.pools[name] = p
+	}
+	return p
+}
+
+// Close closes every connection and waits for the dialer's goroutines. Attempts still running fail.
+func (d *Dialer) Close() {
+	d.mu.Lock()
+	pools := d.pools
+	d.pools = nil
+	d.mu.Unlock()
+	d.end()
+	for _, p := range pools {
+		p.close()
+	}
+	d.tasks.Wait()
+}
+
+// goTask runs f on a goroutine that Close waits for, and reports whether it does: a closed dialer starts none.
+func (d *Dialer) goTask(f func()) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.pools == nil {
+		return false
+	}
+	d.tasks.Go(f)
+	return true
+}
+
+// Connections returns the number of open connections to an upstream.
+func (d *Dialer) Connections(upstream string) int {
+	d.mu.Lock()
+	p := d.pools[upstream]
+	d.mu.Unlock()
+	if p == nil {
+		return 0
+	}
+	return p.count()
+}
+
+func (d *Dialer) count(name string, reason tiller.Reason) {
+	d.cfg.Count(name, reason, 1)
+}
