Spread the document by patches and shared facts by gossip

Change: typed patches between revisions, checked by a hash of the whole document; facts with versions in 256 hashed buckets; push to 8 peers, one comparison a second.

--- /dev/null
+++ b/distributor/table.go
@@ -0,0 +1,289 @@
+package distributor
+
+import (
+	"math/rand/v2"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+const (
+	// PushPeers is the number of random peers to which a daemon passes on what it has just learned.
+	PushPeers = 8
+	// CompareMillis is the time between two comparisons with a random peer, in milliseconds.
+	CompareMillis tiller.Millis = 1000
+	// PatchesKept is the number of patches kept for peers that are a few revisions behind.
+	PatchesKept = 64
+	// FactsPerPush bounds the number of facts in one message.
+	FactsPerPush = 4096
+)
+
+// Table holds what one daemon knows of the document and the shared facts.
+// It is owned by one goroutine.
+type Table struct {
+	seat     int
+	version  Version
+	patches  []Patch
+	facts    facts
+	seenAt   tiller.Millis
+	seen     bool
+	nextTick tiller.Millis
+}
+
+// New returns the empty Table of the daemon at a seat.
+func New(seat int, now tiller.Millis) *Table {
+	return &Table{seat: seat, nextTick: now + CompareMillis}
+}
+
+// Revision returns the revision in force; 0 means none.
+func (t *Table) Revision() int64 { return t.version.Revision }
+
+// Document returns the document in force; nil means none.
+func (t *Table) Document() *tiller.Document {
+	if t.version.Revision == 0 {
+		return nil
+	}
+	return t.version.Document()
+}
+
+// Age returns the time in milliseconds since the store is known to have held the revision
+// in force as its newest; -1 means that this was never known.
+func (t *Table) Age(now tiller.Millis) tiller.Millis {
+	if !t.seen {
+		return -1
+	}
+	return now - t.seenAt
+}
+
+// Fact returns the fact with the given key.
+func (t *Table) Fact(key string) (Fact, bool) { return t.facts.get(key) }
+
+// NextWake returns the time at which Tick is due.
+func (t *Table) NextWake() tiller.Millis { return t.nextTick }
+
+// Confirm records that the store held the revision as its newest at the time now.
+func (t *Table) Confirm(now tiller.Millis, revision int64) {
+	if revision == t.version.Revision {
+		t.confirmedAt(now)
+	}
+}
+
+// Learn takes a document that the store holds at the time now, and passes it on when it is new.
+// It ignores a revision that is not greater than the one in force.
+func (t *Table) Learn(now tiller.Millis, d *tiller.Document, random uint64) []Envelope {
+	if d.Revision <= t.version.Revision {
+		t.Confirm(now, d.Revision)
+		return nil
+	}
+	next := NewVersion(d)
+	patch := t.version.PatchTo(next)
+	t.replace(next, patch)
+	t.confirmedAt(now)
+	return t.spread(now, random)
+}
+
+// Announce takes a fact of this daemon and passes it on when it is new.
+func (t *Table) Announce(f Fact, random uint64) []Envelope {
+	if !t.facts.put(f) {
+		return nil
+	}
+	return t.toPeers(random, PushPeers, Message{Push: &Push{Facts: []Fact{f}, Age: -1}})
+}
+
+// Tick compares with one random peer when that is due.
+func (t *Table) Tick(now tiller.Millis, random uint64) []Envelope {
+	if now < t.nextTick {
+		return nil
+	}
+	t.nextTick = now + CompareMillis
+	return t.toPeers(random, 1, Message{Digest: t.digest(now)})
+}
+
+// Receive handles a message from the seat from.
+func (t *Table) Receive(now tiller.Millis, from int, m Message, random uint64) []Envelope {
+	switch {
+	case m.Digest != nil:
+		return t.receiveDigest(now, from, *m.Digest)
+	case m.Pull != nil:
+		return t.receivePull(now, from, *m.Pull)
+	case m.Push != nil:
+		return t.receivePush(now, from, *m.Push, random)
+	}
+	return nil
+}
+
+func (t *Table) receiveDigest(now tiller.Millis, from int, d Digest) []Envelope {
+	t.learnAge(now, d.Revision, d.Age)
+	var out []Envelope
+	wantFacts := d.FactsHash != t.facts.hash
+	if d.Revision < t.version.Revision {
+		out = append(out, Envelope{To: from, Message: Message{Push: t.pushFor(now, d.Revision)}})
+	}
+	if d.Revision > t.version.Revision || wantFacts {
+		pull := &Pull{Revision: t.version.Revision}
+		if wantFacts {
+			pull.Buckets = append([]uint64(nil), t.facts.hashes[:]...)
+		}
+		out = append(out, Envelope{To: from, Message: Message{Pull: pull}})
+	}
+	return out
+}
+
+func (t *Table) receivePull(now tiller.Millis, from int, p Pull) []Envelope {
+	push := &Push{Age: -1}
+	if p.Revision < t.version.Revision {
+		push = t.pushFor(now, p.Revision)
+	}
+	push.Buckets = t.facts.differing(p.Buckets)
+	push.Facts = t.facts.in(push.Buckets, FactsPerPush)
+	if len(push.Patches) == 0 && push.Document == nil && len(push.Buckets) == 0 {
+		return nil
+	}
+	return []Envelope{{To: from, Message: Message{Push: push}}}
+}
+
+func (t *Table) receivePush(now tiller.Millis, from int, p Push, random uint64) []Envelope {
+	var out []Envelope
+	before := t.version.Revision
+	gap := !t.applyPush(p)
+	if t.version.Revision > before {
+		t.learnAge(now, t.version.Revision, p.Age)
+		out = append(out, t.spread(now, random)...)
+	}
+	if gap {
+		out = append(out, Envelope{To: from, Message: Message{Pull: &Pull{Revision: t.version.Revision}}})
+	}
+	back := t.newerThan(p)
+	fresh := t.putAll(p.Facts)
+	if len(fresh) > 0 && len(p.Buckets) == 0 {
+		out = append(out, t.toPeers(random+1, PushPeers, Message{Push: &Push{Facts: fresh, Age: -1}})...)
+	}
+	if len(back) > 0 {
+		out = append(out, Envelope{To: from, Message: Message{Push: &Push{Facts: back, Age: -1}}})
+	}
+	return out
+}
+
+// applyPush applies what is newer than the version in force.
+// It returns false when patches are missing between the version in force and the pushed ones.
+func (t *Table) applyPush(p Push) bool {
+	if p.Document != nil && p.Document.Revision > t.version.Revision {
+		next := NewVersion(p.Document)
+		t.replace(next, t.version.PatchTo(next))
+	}
+	for _, patch := range p.Patches {
+		if patch.To <= t.version.Revision {
+			continue
+		}
+		next, err := t.version.Apply(patch)
+		if err != nil {
+			return false
+		}
+		t.replace(next, patch)
+	}
+	return true
+}
+
+func (t *Table) putAll(all []Fact) []Fact {
+	var fresh []Fact
+	for _, f := range all {
+		if t.facts.put(f) {
+			fresh = append(fresh, f)
+		}
+	}
+	return fresh
+}
+
+// newerThan returns the facts of the pushed buckets that the sender lacks or has in a lower version.
+func (t *Table) newerThan(p Push) []Fact {
+	if len(p.Buckets) == 0 {
+		return nil
+	}
+	theirs := make(map[string]int64, len(p.Facts))
+	for _, f := range p.Facts {
+		theirs[f.Key] = f.Version
+	}
+	var newer []Fact
+	for _, f := range t.facts.in(p.Buckets, FactsPerPush) {
+		version, known := theirs[f.Key]
+		if !known || version < f.Version {
+			newer = append(newer, f)
+		}
+	}
+	return newer
+}
+
+func (t *Table) replace(next Version, patch Patch) {
+	t.version = next
+	t.seen = false
+	t.patches = append(t.patches, patch)
+	if len(t.patches) > PatchesKept {
+		t.patches = t.patches[len(t.patches)-PatchesKept:]
+	}
+}
+
+// pushFor returns what leads from a peer's revision to the one in force.
+func (t *Table) pushFor(now tiller.Millis, revision int64) *Push {
+	push := &Push{Age: t.Age(now)}
+	for n, patch := range t.patches {
+		if patch.From == revision && revision > 0 {
+			push.Patches = t.patches[n:]
+			return push
+		}
+	}
+	push.Document = t.version.Document()
+	return push
+}
+
+func (t *Table) digest(now tiller.Millis) *Digest {
+	return &Digest{
+		Revision:  t.version.Revision,
+		Hash:      t.version.Hash,
+		Age:       t.Age(now),
+		FactsHash: t.facts.hash,
+	}
+}
+
+// spread passes the newest patch on to random peers.
+func (t *Table) spread(now tiller.Millis, random uint64) []Envelope {
+	newest := t.patches[len(t.patches)-1]
+	if newest.From == 0 {
+		return t.toPeers(random, PushPeers, Message{Digest: t.digest(now)})
+	}
+	push := &Push{Patches: []Patch{newest}, Age: t.Age(now)}
+	return t.toPeers(random, PushPeers, Message{Push: push})
+}
+
+func (t *Table) confirmedAt(at tiller.Millis) {
+	if !t.seen || at > t.seenAt {
+		t.seen = true
+		t.seenAt = at
+	}
+}
+
+// learnAge takes over a peer's knowledge of how fresh the revision in force is.
+func (t *Table) learnAge(now tiller.Millis, revision int64, age tiller.Millis) {
+	if age >= 0 && revision == t.version.Revision {
+		t.confirmedAt(now - age)
+	}
+}
+
+// toPeers sends a message to n different random seats other than the own one.
+func (t *Table) toPeers(random uint64, n int, m Message) []Envelope {
+	seats := t.version.Header.Seats
+	if seats < 2 {
+		return nil
+	}
+	n = min(n, seats-1)
+	r := rand.New(rand.NewPCG(random, uint64(t.seat)))
+	chosen := make(map[int]bool, n)
+	out := make([]Envelope, 0, n)
+	for len(out) < n {
+		seat := r.IntN(seats)
+		if seat == t.seat || chosen[seat] {
+			continue
+		}
+		chosen[seat] = true
+		out = append(out, Envelope{To: seat, Message: m})
+	}
+	return out
+}
