Claim seats and accept changes through the platform's store

Cause: a store answer can be lost after the write took effect, reads can be old, and operators race; a change must be called accepted only when it is. Conclusion: keeping the operations inside the record makes one compare-and-swap enough; a key per operation would need two writes.

--- /dev/null
+++ b/keeper/change_test.go
@@ -0,0 +1,207 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// outcome is what an operator was told of a change.
+type outcome struct {
+	accepted int64
+	verdict  tiller.Verdict
+	conflict bool
+}
+
+func accept(k *Keeper, c Change) outcome {
+	revision, err := k.Accept(context.Background(), c)
+	if err == nil {
+		return outcome{accepted: revision, verdict: tiller.Ran}
+	}
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		return outcome{verdict: verdictOfConflict(err), conflict: true}
+	}
+	return outcome{verdict: verdictOf(err)}
+}
+
+func verdictOfConflict(err error) tiller.Verdict {
+	var f *tiller.Failure
+	if errors.As(err, &f) {
+		return f.Verdict
+	}
+	return tiller.NotRun
+}
+
+// recordModel is the sequential behaviour of the stored document: a change takes effect
+// only at the revision that it expects.
+var recordModel = porcupine.Model{
+	Init: func() any { return int64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		revision := state.(int64)
+		c, out := input.(Change), output.(outcome)
+		switch {
+		case out.verdict == tiller.Ran:
+			return c.Expected == revision && out.accepted == revision+1, revision + 1
+		case out.conflict:
+			return c.Expected != revision, revision
+		case out.verdict == tiller.NotRun:
+			return true, revision
+		}
+		// An unknown outcome is linearized as a change that took effect if it could.
+		if c.Expected == revision {
+			return true, revision + 1
+		}
+		return true, revision
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// TestRacingOperators guards against two changes accepted for one revision, a change that is called
+// accepted and is not there, and a NotRun for a change that took effect, with lost answers,
+// failing calls and old reads.
+func TestRacingOperators(t *testing.T) {
+	for seed := range uint64(200) {
+		s := newMemoryStore(seed)
+		s.loseReply, s.refuse, s.stale = 0.2, 0.2, 0.2
+		ops := race(s, 3, 4)
+		unknown := false
+		for _, o := range ops {
+			unknown = unknown || o.Output.(outcome).verdict == tiller.MayHaveRun
+		}
+		if !unknown {
+			require.True(t, porcupine.CheckOperations(recordModel, ops), "seed %d", seed)
+		}
+		checkOutcomes(t, s, ops)
+	}
+}
+
+// race runs a few operators at once, each of which makes some changes one after the other.
+func race(s *memoryStore, operators, changes int) []porcupine.Operation {
+	var mu sync.Mutex
+	var tick int64
+	now := func() int64 {
+		mu.Lock()
+		defer mu.Unlock()
+		tick++
+		return tick
+	}
+	var ops []porcupine.Operation
+	var group sync.WaitGroup
+	for operator := range operators {
+		group.Go(func() {
+			for n := range changes {
+				k := newKeeper(s, 40)
+				c := Change{Environment: "trial", Operation: fmt.Sprintf("%d-%d", operator, n), Operator: fmt.Sprint(operator), Expected: int64(n), Text: "{}"}
+				op := porcupine.Operation{ClientId: operator, Input: c, Call: now()}
+				op.Output = accept(k, c)
+				op.Return = now()
+				mu.Lock()
+				ops = append(ops, op)
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	return ops
+}
+
+func checkOutcomes(t require.TestingT, s *memoryStore, ops []porcupine.Operation) {
+	written := map[string]int64{}
+	for n, r := range s.writes {
+		require.Equal(t, int64(n+1), r.Revision, "revisions grow by one")
+		last := r.Operations[len(r.Operations)-1]
+		written[last.ID] = last.Revision
+	}
+	for _, o := range ops {
+		c, out := o.Input.(Change), o.Output.(outcome)
+		revision, ran := written[c.Operation]
+		switch out.verdict {
+		case tiller.Ran:
+			require.Equal(t, revision, out.accepted)
+		case tiller.NotRun:
+			require.False(t, ran, "NotRun for %s, which is revision %d", c.Operation, revision)
+		}
+	}
+}
+
+// TestCheckerFindsFalseNotRun shows that the check of the race test can fail.
+func TestCheckerFindsFalseNotRun(t *testing.T) {
+	s := newMemoryStore(1)
+	c := Change{Environment: "trial", Operation: "a", Operator: "x", Text: "{}"}
+	out := accept(newKeeper(s, 5), c)
+	out.verdict = tiller.NotRun
+	require.Panics(t, func() {
+		checkOutcomes(panicking{}, s, []porcupine.Operation{{Input: c, Output: out}})
+	})
+}
+
+type panicking struct{}
+
+func (panicking) Errorf(string, ...any) {}
+func (panicking) FailNow()              { panic("check failed") }
+
+// TestLostAnswerIsSettled guards against a change applied twice or called unknown when only the answer was lost.
+func TestLostAnswerIsSettled(t *testing.T) {
+	s := newMemoryStore(1)
+	s.loseReply = 1
+	out := accept(newKeeper(s, 5), Change{Environment: "trial", Operation: "a", Operator: "x", Text: "{}"})
+	require.Equal(t, outcome{accepted: 1, verdict: tiller.Ran}, out)
+	require.Len(t, s.writes, 1)
+}
+
+// TestStoreDown guards against a change called accepted or unknown while the store never took it.
+func TestStoreDown(t *testing.T) {
+	s := newMemoryStore(1)
+	s.down = true
+	out := accept(newKeeper(s, 5), Change{Environment: "trial", Operation: "a", Operator: "x", Text: "{}"})
+	require.Equal(t, outcome{verdict: tiller.NotRun}, out)
+}
+
+// TestSeats guards against one seat claimed by two processes, a seat lost to a VM that lives,
+// and incarnations that do not grow.
+func TestSeats(t *testing.T) {
+	s := newMemoryStore(3)
+	s.loseReply, s.refuse = 0.2, 0.1
+	for n := range 4 {
+		s.vms = append(s.vms, VM{Name: fmt.Sprint("vm", n)})
+	}
+	order := SeatOrder(4, 2, 1, 0)
+	require.Equal(t, []int{1, 3, 0, 2}, order)
+	held := map[int]Claimant{}
+	seats := map[int]Seat{}
+	for n := range 4 {
+		c := Claimant{VM: fmt.Sprint("vm", n), Nonce: fmt.Sprint(n)}
+		seat := claim(t, s, c, order)
+		require.NotContains(t, held, seat.Number)
+		held[seat.Number], seats[seat.Number] = c, seat
+	}
+	s.vms = append(s.vms, VM{Name: "vm9"})
+	s.loseReply, s.refuse = 0, 0
+	late := Claimant{VM: "vm9", Nonce: "9"}
+	_, err := newKeeper(s, 5).Claim(context.Background(), late, order)
+	require.ErrorIs(t, err, ErrNoSeat)
+	require.NoError(t, newKeeper(s, 5).Release(context.Background(), held[3], seats[3]))
+	again := claim(t, s, late, order)
+	require.Equal(t, 3, again.Number)
+	require.Greater(t, again.Incarnation, seats[3].Incarnation)
+	s.vms = s.vms[1:]
+	require.Equal(t, 1, claim(t, s, Claimant{VM: "vm10", Nonce: "10"}, order).Number, "the VM that left held seat 1")
+}
+
+func claim(t *testing.T, s *memoryStore, c Claimant, order []int) Seat {
+	for {
+		seat, err := newKeeper(s, 20).Claim(context.Background(), c, order)
+		if err == nil {
+			return seat
+		}
+		require.NotErrorIs(t, err, ErrNoSeat)
+	}
+}
--- /dev/null
+++ b/keeper/record.go
@@ -0,0 +1,83 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// OperationsKept is the number of accepted operations that a record remembers, so that
+// an operation whose answer was lost can be recognised after later changes.
+const OperationsKept = 64
+
+// Record is the stored document of an environment.
+type Record struct {
+	Revision int64
+	// Text is the document in JSON with comments, as the operator wrote it.
+	Text string
+	// Operations are the newest accepted changes, oldest first.
+	Operations []Operation
+}
+
+// Operation is one accepted change.
+type Operation struct {
+	ID       string
+	Operator string
+	Revision int64
+	// AtMillis is the time of the change on the accepting daemon's clock, in milliseconds since the Unix epoch.
+	AtMillis tiller.Millis
+}
+
+// operation returns the accepted operation with an identifier.
+func (r Record) operation(id string) (Operation, bool) {
+	for _, o := range r.Operations {
+		if o.ID == id {
+			return o, true
+		}
+	}
+	return Operation{}, false
+}
+
+// remembersSince says whether every operation after a revision is in the record.
+func (r Record) remembersSince(revision int64) bool {
+	if len(r.Operations) == 0 {
+		return r.Revision == 0
+	}
+	return r.Operations[0].Revision <= revision+1
+}
+
+// with returns the record after a change.
+func (r Record) with(c Change, at tiller.Millis) Record {
+	done := Operation{ID: c.Operation, Operator: c.Operator, Revision: r.Revision + 1, AtMillis: at}
+	kept := append([]Operation(nil), r.Operations...)
+	kept = append(kept, done)
+	if len(kept) > OperationsKept {
+		kept = kept[len(kept)-OperationsKept:]
+	}
+	return Record{Revision: done.Revision, Text: c.Text, Operations: kept}
+}
+
+// Read returns the stored record of an environment and the version of its key.
+// A record that does not exist has revision 0 and version 0.
+func (k *Keeper) Read(ctx context.Context, env string) (Record, int64, error) {
+	e, err := k.cfg.Platform.Get(ctx, k.key(env, "document"))
+	if errors.Is(err, ErrNotFound) {
+		return Record{}, 0, nil
+	}
+	if err != nil {
+		return Record{}, 0, err
+	}
+	r, err := decodeRecord(e)
+	return r, e.Version, err
+}
+
+func decodeRecord(e Entry) (Record, error) {
+	var r Record
+	if err := json.Unmarshal([]byte(e.Value), &r); err != nil {
+		return Record{}, tiller.NewFailure(tiller.NotRun, tiller.ReasonInternal, errors.Wrap(err, "decode record"))
+	}
+	return r, nil
+}
--- /dev/null
+++ b/keeper/store_test.go
@@ -0,0 +1,103 @@
+package keeper
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// memoryStore is a Platform in memory with seeded faults.
+type memoryStore struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	entries map[string][]Entry
+	vms     []VM
+	// loseReply, refuse and stale are the shares of calls, from 0 to 1, whose answer is
+	// lost after they took effect, that fail without effect, and that read an old version.
+	loseReply, refuse, stale float64
+	down                     bool
+	writes                   []Record
+}
+
+func newMemoryStore(seed uint64) *memoryStore {
+	return &memoryStore{random: rand.New(rand.NewPCG(seed, 0)), entries: map[string][]Entry{}}
+}
+
+func (s *memoryStore) platform() Platform {
+	return Platform{
+		Get:   s.get,
+		Put:   s.put,
+		Grant: func(context.Context, tiller.Millis) (int64, error) { return 1, s.fault() },
+		Keep:  func(context.Context, int64) error { return s.fault() },
+		VMs:   func(context.Context) ([]VM, error) { return s.vms, nil },
+	}
+}
+
+func (s *memoryStore) fault() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down || s.random.Float64() < s.refuse {
+		return tiller.NewFailure(tiller.NotRun, tiller.ReasonConnectFailed, ErrUnavailable)
+	}
+	return nil
+}
+
+func (s *memoryStore) get(_ context.Context, key string) (Entry, error) {
+	if err := s.fault(); err != nil {
+		return Entry{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	versions := s.entries[key]
+	if len(versions) == 0 {
+		return Entry{}, tiller.NewFailure(tiller.NotRun, tiller.ReasonInternal, ErrNotFound)
+	}
+	if s.random.Float64() < s.stale {
+		return versions[s.random.IntN(len(versions))], nil
+	}
+	return versions[len(versions)-1], nil
+}
+
+func (s *memoryStore) put(_ context.Context, key, value string, expected, _ int64) (Entry, error) {
+	if err := s.fault(); err != nil {
+		return Entry{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	versions := s.entries[key]
+	if int64(len(versions)) != expected {
+		return Entry{}, tiller.NewFailure(tiller.NotRun, tiller.ReasonInternal, ErrConflict)
+	}
+	e := Entry{Key: key, Value: value, Version: expected + 1}
+	s.entries[key] = append(versions, e)
+	if r, err := decodeRecord(e); err == nil {
+		s.writes = append(s.writes, r)
+	}
+	if s.random.Float64() < s.loseReply {
+		return Entry{}, tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, ErrUnavailable)
+	}
+	return e, nil
+}
+
+func newKeeper(s *memoryStore, tries int) *Keeper {
+	return New(Config{
+		Platform:    s.platform(),
+		Environment: "trial",
+		Clock:       tiller.FixedClock(1000),
+		Sleep:       limitedSleep(tries),
+		Random:      func(int64) int64 { return 0 },
+	})
+}
+
+// limitedSleep returns at once and fails after a number of calls, as if the deadline had passed.
+func limitedSleep(tries int) func(context.Context, tiller.Millis) error {
+	return func(context.Context, tiller.Millis) error {
+		tries--
+		if tries < 0 {
+			return context.DeadlineExceeded
+		}
+		return nil
+	}
+}
