Judge the versions of a rollout by concurrent comparison

Cause: small shares give few samples, and fixed thresholds take good versions back or miss faults that grow or show on one route only. Services with few queries may not be judged in time and are then taken back.

--- a/distributor/patch.go
+++ b/distributor/patch.go
@@ -18,6 +18,7 @@
 	Environment string
 	Seats       int
 	Domains     []tiller.Domain
+	Moves       []tiller.Move
 }
 
 // Patch leads from one revision of a document to a later one.
@@ -52,7 +53,7 @@
 func NewVersion(d *tiller.Document) Version {
 	v := Version{
 		Revision:  d.Revision,
-		Header:    Header{Environment: d.Environment, Seats: d.Seats, Domains: d.Domains},
+		Header:    Header{Environment: d.Environment, Seats: d.Seats, Domains: d.Domains, Moves: d.Moves},
 		Upstreams: make(map[string]tiller.Upstream, len(d.Upstreams)),
 		Services:  make(map[string]tiller.Service, len(d.Services)),
 	}
@@ -75,6 +76,7 @@
 		Revision:    v.Revision,
 		Seats:       v.Header.Seats,
 		Domains:     v.Header.Domains,
+		Moves:       v.Header.Moves,
 		Upstreams:   slices.Collect(maps.Values(v.Upstreams)),
 		Services:    slices.Collect(maps.Values(v.Services)),
 	}
--- a/document.go
+++ b/document.go
@@ -11,6 +11,8 @@
 	Domains   []Domain
 	Upstreams []Upstream
 	Services  []Service
+	// Moves are the shifts of traffic between upstream versions.
+	Moves []Move
 }
 
 // Domain is a failure domain.
--- /dev/null
+++ b/mover/mover_test.go
@@ -0,0 +1,165 @@
+package mover
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// behaviour gives the failure rate and the latency factor of a version at a part of the rollout
+// and a share of the traffic.
+type behaviour func(route string, part, share float64) (failures, slowdown float64)
+
+func good(string, float64, float64) (float64, float64) { return 0.005, 1 }
+
+// rollout is one seeded rollout in virtual time.
+type rollout struct {
+	perMinute int
+	minutes   int
+	owners    int
+	next      behaviour
+}
+
+type result struct {
+	state     tiller.MoveState
+	fault     Fault
+	newBefore int
+	total     int
+	newAfter  int
+}
+
+const routes = 3
+
+func (r rollout) run(seed uint64) result {
+	random := rand.New(rand.NewPCG(seed, 5))
+	move := tiller.Move{From: "v1", To: "v2", FinishBy: tiller.Millis(r.minutes) * tiller.Minute, CanaryPercent: 5}
+	judge := NewJudge()
+	counters := make([]*Counter, r.owners)
+	for i := range counters {
+		counters[i] = NewCounter()
+	}
+	var out result
+	step := tiller.Minute / tiller.Millis(r.perMinute)
+	nextShare := tiller.Millis(0)
+	var splitter Splitter
+	var isNew bool
+	for now := tiller.Millis(0); now < move.FinishBy; now += step {
+		share := Share(move, now, judge.Judged(), judge.Fault().Cause != NoFault)
+		splitter, isNew = splitter.Next(share)
+		route := fmt.Sprint("route", random.IntN(routes))
+		part := float64(now) / float64(move.FinishBy)
+		counters[random.IntN(r.owners)].Record(r.sample(random, route, isNew, part, share))
+		out.count(isNew, judge)
+		if now < nextShare {
+			continue
+		}
+		nextShare = now + tiller.Second
+		for i, c := range counters {
+			out.fault = judge.Update(fmt.Sprint(i), c.Evidence())
+		}
+	}
+	out.state = Final(move, move.FinishBy, judge.Judged(), judge.Fault().Cause != NoFault)
+	return out
+}
+
+func (o *result) count(isNew bool, j *Judge) {
+	if j.Fault().Cause != NoFault {
+		if isNew {
+			o.newAfter++
+		}
+		return
+	}
+	o.total++
+	if isNew {
+		o.newBefore++
+	}
+}
+
+func (r rollout) sample(random *rand.Rand, route string, isNew bool, part, share float64) Sample {
+	failures, slowdown := good(route, part, share)
+	if isNew {
+		failures, slowdown = r.next(route, part, share)
+	}
+	latency := 10 * math.Exp(0.5*random.NormFloat64()) * slowdown
+	return Sample{Route: route, New: isNew, Failed: random.Float64() < failures, Latency: tiller.Millis(latency + 0.5)}
+}
+
+// TestGoodVersionsFinish guards against good versions that are taken back or do not finish in time.
+func TestGoodVersionsFinish(t *testing.T) {
+	r := rollout{perMinute: 600, minutes: 30, owners: 4, next: good}
+	for group := range uint64(10) {
+		t.Run(fmt.Sprint("seeds from ", group*100), func(t *testing.T) {
+			t.Parallel()
+			for seed := group * 100; seed < (group+1)*100; seed++ {
+				got := r.run(seed)
+				require.Equal(t, tiller.MoveDone, got.state, "seed %d: %+v", seed, got)
+			}
+		})
+	}
+}
+
+// TestBadVersions guards against bad versions that stay. The bound on the share before the
+// fault shows holds for faults that show at the canary share.
+func TestBadVersions(t *testing.T) {
+	cases := []struct {
+		name   string
+		next   behaviour
+		canary bool
+	}{
+		{"fails at once", func(string, float64, float64) (float64, float64) { return 0.3, 1 }, true},
+		{"slow at once", func(string, float64, float64) (float64, float64) { return 0.005, 3 }, true},
+		{"one route fails", func(route string, _, _ float64) (float64, float64) {
+			if route == "route1" {
+				return 0.5, 1
+			}
+			return 0.005, 1
+		}, true},
+		{"fails later", func(_ string, part, _ float64) (float64, float64) {
+			if part > 0.5 {
+				return 0.3, 1
+			}
+			return 0.005, 1
+		}, false},
+		{"grows slowly", func(_ string, part, _ float64) (float64, float64) { return 0.005 + 0.4*part*part, 1 }, false},
+		{"slow under load", func(_ string, _, share float64) (float64, float64) {
+			if share > 0.4 {
+				return 0.005, 3
+			}
+			return 0.005, 1
+		}, false},
+	}
+	r := rollout{perMinute: 600, minutes: 30, owners: 4}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := r
+			r.next = c.next
+			worst, exposed := 0.0, 0
+			for seed := range uint64(100) {
+				got := r.run(seed)
+				require.Equal(t, tiller.MoveTakenBack, got.state, "seed %d: %+v", seed, got)
+				require.Zero(t, got.newAfter, "queries of the new version after the fault showed")
+				worst = max(worst, float64(got.newBefore)/float64(got.total))
+				exposed = max(exposed, got.newBefore)
+			}
+			t.Logf("%s: at most %d queries and a share of %.3f reached the new version", c.name, exposed, worst)
+			if c.canary {
+				require.LessOrEqual(t, worst, 0.05)
+			}
+		})
+	}
+}
+
+// TestFinalStateStays guards against a final state that changes.
+func TestFinalStateStays(t *testing.T) {
+	m := tiller.Move{FinishBy: 10, State: tiller.MoveDone}
+	require.Equal(t, tiller.MoveDone, Final(m, 20, true, true))
+	m.State = tiller.MoveTakenBack
+	require.Equal(t, tiller.MoveTakenBack, Final(m, 20, true, false))
+	require.Zero(t, Share(m, 20, true, false))
+}
