--- /dev/null
+++ b/server/guard.go
@@ -0,0 +1,141 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+const (
+	// maxCallerBytes bounds the body of a caller's request.
+	maxCallerBytes = 1 << 20
+	// maxOperatorBytes bounds the body of an operator's request: a document of 1,000,000
+	// characters may grow in its JSON string.
+	maxOperatorBytes = 4 << 20
+	// maxHeaderBytes bounds the header of a request that gets a refusal with a body.
+	maxHeaderBytes = 64 << 10
+	// readMillis bounds the arrival of a body, writeMillis the writing of a response.
+	readMillis  = 10 * tiller.Second
+	writeMillis = 30 * tiller.Second
+)
+
+// arrivalKey is the context key of the time at which a request arrived.
+type arrivalKey struct{}
+
+// headerKey is the context key of the header of the response.
+type headerKey struct{}
+
+// guard stands before a generated server: it serves the pages, bounds header, body and times,
+// and refuses what is no request at all.
+type guard struct {
+	pages    pages
+	clock    tiller.Clock
+	maxBytes int64
+	// stopping says that the daemon stops, so that connections are to close after their next response.
+	stopping func() bool
+	// refuse writes a refusal NotRun.
+	refuse func(w http.ResponseWriter, status int, detail string)
+	next   http.Handler
+}
+
+// ServeHTTP serves one request.
+func (g *guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := g.clock.Now()
+	w = &timedWriter{ResponseWriter: w}
+	if g.stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	if headerBytes(r) > maxHeaderBytes {
+		g.refuse(w, http.StatusRequestHeaderFieldsTooLarge, "the header is larger than 64 KiB")
+		return
+	}
+	if page := g.pages.find(r.URL.Path); page != nil {
+		g.servePage(w, r, page)
+		return
+	}
+	body, status, err := g.readBody(w, r)
+	if err != nil {
+		g.refuse(w, status, err.Error())
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	r.ContentLength = int64(len(body))
+	ctx := context.WithValue(r.Context(), arrivalKey{}, arrived)
+	ctx = context.WithValue(ctx, headerKey{}, w.Header())
+	g.next.ServeHTTP(w, r.WithContext(ctx))
+}
+
+func (g *guard) servePage(w http.ResponseWriter, r *http.Request, page func(http.ResponseWriter)) {
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		g.notAllowed(w, r, "GET, HEAD")
+		return
+	}
+	page(w)
+}
+
+// readBody reads the whole body. Its deadline is cleared afterwards: net/http keeps reading to notice
+// that the client has gone, and a deadline that passes would look the same and cancel the request.
+func (g *guard) readBody(w http.ResponseWriter, r *http.Request) ([]byte, int, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(readMillis.Duration()))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.maxBytes))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, 0, nil
+	case errors.As(err, &tooLarge):
+		return nil, http.StatusRequestEntityTooLarge, errors.New("the body is too large")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, http.StatusRequestTimeout, errors.New("the body took too long to arrive")
+	}
+	return nil, http.StatusBadRequest, errors.New("the body is truncated")
+}
+
+func (g *guard) notFound(w http.ResponseWriter, _ *http.Request) {
+	g.refuse(w, http.StatusNotFound, "there is nothing at this path")
+}
+
+func (g *guard) notAllowed(w http.ResponseWriter, r *http.Request, allowed string) {
+	w.Header().Set("Allow", allowed)
+	g.refuse(w, http.StatusMethodNotAllowed, "method "+r.Method+" is not allowed here")
+}
+
+// headerBytes returns the size of a request's header, without the line ends.
+func headerBytes(r *http.Request) int {
+	n := len(r.RequestURI)
+	for key, values := range r.Header {
+		for _, v := range values {
+			n += len(key) + len(v)
+		}
+	}
+	return n
+}
+
+// arrivalOf returns the time at which a request arrived.
+func arrivalOf(ctx context.Context) tiller.Millis {
+	return ctx.Value(arrivalKey{}).(tiller.Millis)
+}
+
+// timedWriter bounds the time for writing a response, from its first byte.
+type timedWriter struct {
+	http.ResponseWriter
+}
+
+// Unwrap returns the writer below, for http.ResponseController.
+func (w *timedWriter) Unwrap() http.ResponseWriter {
+	return w.ResponseWriter
+}
+
+// WriteHeader sets the bound and writes the header.
+func (w *timedWriter) WriteHeader(status int) {
+	control := http.NewResponseController(w.ResponseWriter)
+	_ = control.SetWriteDeadline(time.Now().Add(writeMillis.Duration()))
+	w.ResponseWriter.WriteHeader(status)
+}
--- /dev/null
+++ b/server/operator.go
@@ -0,0 +1,159 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/api/operator"
+)
+
+// OperatorConfig holds what the operators' interface depends on. Every field is required.
+// An error of type *OperatorError is answered as it stands, any other as a fault of the daemon.
+type OperatorConfig struct {
+	Clock       tiller.Clock
+	Metrics     *Metrics
+	Status      func(context.Context) (*operator.Status, error)
+	Explain     func(context.Context, tiller.RequestID) (*operator.Explanation, error)
+	GetDocument func(ctx context.Context, env string) (*operator.StoredDocument, error)
+	PutDocument func(ctx context.Context, env string, change *operator.Change) (*operator.Accepted, error)
+	// Ready returns why the daemon takes no new work; empty when it does.
+	Ready    func() string
+	Stopping func() bool
+}
+
+// OperatorError is a refusal of an operator's request.
+type OperatorError struct {
+	// Body is what the operator gets.
+	Body operator.Error
+}
+
+// NewOperatorError returns an error with verdict, reason and an explanation to a person.
+func NewOperatorError(v tiller.Verdict, reason operator.ErrorReason, detail string) *OperatorError {
+	return &OperatorError{Body: operator.Error{
+		Verdict: operator.ErrorVerdict(v.String()),
+		Reason:  reason,
+		Detail:  operator.NewOptString(detail),
+		Faults:  []string{},
+	}}
+}
+
+// Error returns verdict, reason and explanation in one line.
+func (e *OperatorError) Error() string {
+	return fmt.Sprintf("%s: %s: %s", e.Body.Verdict, e.Body.Reason, e.Body.Detail.Or(""))
+}
+
+// operatorStatuses holds the HTTP status of each reason.
+var operatorStatuses = map[operator.ErrorReason]int{
+	operator.ErrorReasonBadRequest:  http.StatusBadRequest,
+	operator.ErrorReasonNotFound:    http.StatusNotFound,
+	operator.ErrorReasonConflict:    http.StatusConflict,
+	operator.ErrorReasonBadDocument: http.StatusUnprocessableEntity,
+	operator.ErrorReasonStoreDown:   http.StatusServiceUnavailable,
+	operator.ErrorReasonInternal:    http.StatusInternalServerError,
+}
+
+// NewOperator returns the handler of the operators' interface.
+func NewOperator(cfg OperatorConfig) (http.Handler, error) {
+	h := &operatorHandler{cfg: cfg}
+	g := &guard{
+		pages:    pages{metrics: cfg.Metrics, ready: cfg.Ready},
+		clock:    cfg.Clock,
+		maxBytes: maxOperatorBytes,
+		stopping: cfg.Stopping,
+		refuse:   h.refuse,
+	}
+	next, err := operator.NewServer(
+		h,
+		operator.WithNotFound(g.notFound),
+		operator.WithMethodNotAllowed(g.notAllowed),
+		operator.WithErrorHandler(h.handleError),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("build operator interface: %w", err)
+	}
+	g.next = next
+	return g, nil
+}
+
+// operatorHandler implements the generated operator.Handler.
+type operatorHandler struct {
+	cfg OperatorConfig
+}
+
+// Status tells the state of the daemon.
+func (h *operatorHandler) Status(ctx context.Context) (*operator.Status, error) {
+	status, err := h.cfg.Status(ctx)
+	if err != nil {
+		return nil, toOperatorError(err)
+	}
+	return status, nil
+}
+
+// Explain tells what was decided for a request.
+func (h *operatorHandler) Explain(ctx context.Context, p operator.ExplainParams) (operator.ExplainRes, error) {
+	explanation, err := h.cfg.Explain(ctx, tiller.RequestID(p.ID))
+	if err != nil {
+		return encodeOperatorError(err), nil
+	}
+	return explanation, nil
+}
+
+// GetDocument returns the document of an environment.
+func (h *operatorHandler) GetDocument(ctx context.Context, p operator.GetDocumentParams) (operator.GetDocumentRes, error) {
+	stored, err := h.cfg.GetDocument(ctx, string(p.Env))
+	if err != nil {
+		return encodeOperatorError(err), nil
+	}
+	return stored, nil
+}
+
+// PutDocument replaces the document of an environment.
+func (h *operatorHandler) PutDocument(ctx context.Context, c *operator.Change, p operator.PutDocumentParams) (operator.PutDocumentRes, error) {
+	accepted, err := h.cfg.PutDocument(ctx, string(p.Env), c)
+	if err != nil {
+		return encodeOperatorError(err), nil
+	}
+	return accepted, nil
+}
+
+// toOperatorError returns err as it stands in an answer; one of an unknown type says nothing about what took effect.
+func toOperatorError(err error) *OperatorError {
+	var known *OperatorError
+	if !errors.As(err, &known) {
+		known = NewOperatorError(tiller.MayHaveRun, operator.ErrorReasonInternal, err.Error())
+	}
+	return known
+}
+
+func encodeOperatorError(err error) *operator.ErrorStatusCode {
+	known := toOperatorError(err)
+	return &operator.ErrorStatusCode{StatusCode: operatorStatuses[known.Body.Reason], Response: known.Body}
+}
+
+// handleError answers a request that could not be decoded, or a status that could not be told.
+func (h *operatorHandler) handleError(_ context.Context, w http.ResponseWriter, r *http.Request, err error) {
+	var known *OperatorError
+	if errors.As(err, &known) {
+		e := encodeOperatorError(err)
+		writeJSON(w, e.StatusCode, e.Response.Encode)
+		return
+	}
+	status := http.StatusBadRequest
+	if r.Method == http.MethodPut {
+		status = decodeStatus(r, err)
+	}
+	h.refuse(w, status, err.Error())
+}
+
+// refuse writes the error of a request that could not be decoded.
+func (h *operatorHandler) refuse(w http.ResponseWriter, status int, detail string) {
+	reason := operator.ErrorReasonBadRequest
+	if status == http.StatusNotFound {
+		reason = operator.ErrorReasonNotFound
+	}
+	e := NewOperatorError(tiller.NotRun, reason, detail)
+	writeJSON(w, status, e.Body.Encode)
+}
