--- /dev/null
+++ b/syncer/syncer_test.go
@@ -0,0 +1,140 @@
+package syncer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/distributor"
+	"github.com/carawaytiller/carawaytiller/keeper"
+)
+
+// fleet is a few Syncers in one process whose messages are delivered at once.
+type fleet struct {
+	all     []*Syncer
+	applied [][]int64
+	reads   int
+	record  keeper.Record
+	down    bool
+	now     tiller.Millis
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{applied: make([][]int64, n)}
+	for seat := range n {
+		f.all = append(f.all, New(f.config(seat)))
+	}
+	return f
+}
+
+func (f *fleet) config(seat int) Config {
+	return Config{
+		Seat:   seat,
+		Clock:  tiller.Clock{Now: func() tiller.Millis { return f.now }},
+		Random: func() uint64 { return uint64(seat) * 7919 },
+		Send:   func(to int, m distributor.Message) { f.all[to].Receive(seat, m) },
+		Apply:  func(d *tiller.Document) { f.applied[seat] = append(f.applied[seat], d.Revision) },
+		Read:   f.read,
+		Watch:  func(ctx context.Context, _ func(keeper.Record)) { <-ctx.Done() },
+		Decode: func(text string) (*tiller.Document, error) {
+			if text == "bad" {
+				return nil, errors.New("bad document")
+			}
+			return &tiller.Document{Environment: "trial", Seats: len(f.all)}, nil
+		},
+		Sleep: func(ctx context.Context, _ tiller.Millis) error { return ctx.Err() },
+		Log:   logr.Discard(),
+	}
+}
+
+func (f *fleet) read(context.Context) (keeper.Record, error) {
+	f.reads++
+	if f.down {
+		return keeper.Record{}, tiller.NewFailure(tiller.NotRun, tiller.ReasonConnectFailed, keeper.ErrUnavailable)
+	}
+	return f.record, nil
+}
+
+func (f *fleet) tickAll() {
+	for _, s := range f.all {
+		s.tick(context.Background())
+	}
+}
+
+// TestOneWatcherInformsAll guards against daemons that stay behind, a bad document that is applied,
+// and a lower revision that is applied after a higher one.
+func TestOneWatcherInformsAll(t *testing.T) {
+	f := newFleet(8)
+	for _, s := range f.all {
+		s.LearnRecord(keeper.Record{Revision: 1})
+	}
+	f.all[0].LearnRecord(keeper.Record{Revision: 3})
+	f.all[1].LearnRecord(keeper.Record{Revision: 2})
+	f.all[2].LearnRecord(keeper.Record{Revision: 4, Text: "bad"})
+	for seat := range f.all {
+		require.Equal(t, []int64{1, 3}, f.applied[seat], "seat %d", seat)
+	}
+}
+
+// TestOutageDoesNotFloodStore guards against a fleet that reads the store all at once
+// when knowledge grows old, and against an age that looks fresh in an outage.
+func TestOutageDoesNotFloodStore(t *testing.T) {
+	f := newFleet(8)
+	f.record = keeper.Record{Revision: 1}
+	f.tickAll()
+	f.down, f.reads = true, 0
+	for f.now = 0; f.now < tiller.Hour; f.now += tiller.Second {
+		f.tickAll()
+	}
+	perSecond := float64(f.reads) / float64(tiller.Hour/tiller.Second)
+	t.Logf("8 daemons made %.2f reads a second in an outage of an hour", perSecond)
+	require.Less(t, perSecond, 8.0/15)
+	_, age := f.all[3].State()
+	require.GreaterOrEqual(t, age, tiller.Hour-2*tiller.Second)
+	require.Equal(t, int64(1), f.all[3].table.Revision())
+	f.down = false
+	for range 80 {
+		f.now += tiller.Second
+		f.tickAll()
+	}
+	_, age = f.all[3].State()
+	require.Less(t, age, StaleMillis+StaleSpreadMillis)
+}
+
+// TestSeatAddressNewestWins guards against calls that go to a process that has been replaced.
+func TestSeatAddressNewestWins(t *testing.T) {
+	f := newFleet(3)
+	for _, s := range f.all {
+		s.LearnRecord(keeper.Record{Revision: 1})
+	}
+	f.all[1].AnnounceSeat(1, 5, SeatAddress{Address: "127.0.0.1:2"})
+	f.all[2].AnnounceSeat(1, 4, SeatAddress{Address: "127.0.0.1:1"})
+	a, incarnation, ok := f.all[0].AddressOf(1)
+	require.True(t, ok)
+	require.Equal(t, int64(5), incarnation)
+	require.Equal(t, "127.0.0.1:2", a.Address)
+}
+
+// TestRunEnds guards against goroutines that outlive the daemon.
+func TestRunEnds(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	f := newFleet(1)
+	cfg := f.config(0)
+	cfg.Sleep = func(ctx context.Context, _ tiller.Millis) error {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Millisecond):
+			return nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	New(cfg).Run(ctx)
+}
