--- /dev/null
+++ b/assembler/config.go
@@ -0,0 +1,52 @@
+package assembler
+
+import (
+	"context"
+
+	"github.com/go-logr/logr"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/api/operator"
+	"github.com/carawaytiller/carawaytiller/reducer"
+)
+
+// Config holds what a Daemon depends on. Clock, Logger and the addresses are required.
+type Config struct {
+	Clock  tiller.Clock
+	Logger logr.Logger
+	// CallerAddress and OperatorAddress are the addresses to listen on; port 0 takes a free one.
+	CallerAddress   string
+	OperatorAddress string
+	Environment     string
+	// Seat and Incarnation are the seat that this process holds.
+	Seat        int
+	Incarnation int64
+	// DrainMillis is the part of a planned stop for which the daemon still takes new work, while
+	// /readyz fails and callers are asked to close their connections.
+	DrainMillis tiller.Millis
+	// Forward passes a query to a peer; nil when there are no peers.
+	Forward func(context.Context, reducer.Forward) (tiller.Result, error)
+	// SendLease sends a message to another seat without blocking; nil when there are no peers.
+	SendLease func(reducer.SendLease)
+	// GetDocument and PutDocument reach the stored document; nil when there is no store.
+	GetDocument func(ctx context.Context, env string) (*operator.StoredDocument, error)
+	PutDocument func(ctx context.Context, env string, change *operator.Change) (*operator.Accepted, error)
+}
+
+// withDefaults returns a copy of c whose optional fields are set.
+func (c Config) withDefaults() Config {
+	if c.SendLease == nil {
+		c.SendLease = func(reducer.SendLease) {}
+	}
+	if c.GetDocument == nil {
+		c.GetDocument = func(context.Context, string) (*operator.StoredDocument, error) {
+			return nil, errNoStore
+		}
+	}
+	if c.PutDocument == nil {
+		c.PutDocument = func(context.Context, string, *operator.Change) (*operator.Accepted, error) {
+			return nil, errNoStore
+		}
+	}
+	return c
+}
