Add fakes of the platform and of an upstream

The daemons need counterparts that speak the published interfaces and fail on request. Package faker serves the generated servers over HTTP/1.1 and HTTP/2 cleartext on loopback addresses: a store with versions, leases, watches and rate limits, a lagging list of VMs, and an upstream with slots, a connection limit, cold start, crashes and silent connections. Faults are swapped while a fake runs, in-process or through a control handler at another address.

The tests bring each fault about against the generated clients.

--- /dev/null
+++ b/faker/life.go
@@ -0,0 +1,50 @@
+package faker
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// Causes of the end of a request without results.
+var (
+	errCrashed  = errors.New("the upstream crashed")
+	errDeadline = errors.New("the deadline passed")
+	errShed     = errors.New("slots and queue are full")
+)
+
+// life is the state of one incarnation of an upstream; a crash ends it.
+type life struct {
+	ctx         context.Context
+	end         context.CancelCauseFunc
+	incarnation int64
+	slots       slots
+	cold        coldStart
+}
+
+func newLife(s UpstreamSettings, incarnation int64, now tiller.Millis) *life {
+	ctx, end := context.WithCancelCause(context.Background())
+	l := &life{
+		ctx:         ctx,
+		end:         end,
+		incarnation: incarnation,
+		slots:       slots{limit: s.Slots, queueLimit: s.QueueLimit},
+		cold:        coldStart{slots: s.ColdSlots, requests: s.ColdRequests, millis: s.ColdMillis},
+	}
+	l.cold.restart(now)
+	return l
+}
+
+// bound returns a context that ends with ctx, at the deadline, or with the life; its cause tells which.
+func (l *life) bound(ctx context.Context, deadline tiller.Millis) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeoutCause(ctx, deadline.Duration(), errDeadline)
+	ctx, kill := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(l.ctx, func() { kill(context.Cause(l.ctx)) })
+	return ctx, func() {
+		stop()
+		kill(nil)
+		cancel()
+	}
+}
--- /dev/null
+++ b/faker/store.go
@@ -0,0 +1,292 @@
+package faker
+
+import (
+	"context"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/api/platform"
+)
+
+// Limits of the platform's store.
+const (
+	// DefaultWritesPerSecond is the default limit of writes in a second.
+	DefaultWritesPerSecond = 400
+	// DefaultReadsPerSecond is the default limit of reads and watches in a second.
+	DefaultReadsPerSecond = 2000
+	// MaxValueBytes is the greatest size of a value.
+	MaxValueBytes = 1 << 20
+)
+
+// StoreSettings are the settings of a Store.
+type StoreSettings struct {
+	// WritesPerSecond limits writes of keys, grants and renewals of leases; 0 means DefaultWritesPerSecond.
+	WritesPerSecond int
+	// ReadsPerSecond limits reads and watches; a watch counts as one call; 0 means DefaultReadsPerSecond.
+	ReadsPerSecond int
+}
+
+// StoreCounts counts the calls of a Store. Calls that are refused count, too.
+type StoreCounts struct {
+	Reads   int
+	Writes  int
+	Watches int
+	// Watching is the number of watches that wait now.
+	Watching int
+	// RateLimited is the number of calls beyond the limits.
+	RateLimited int
+	// RepliesLost is the number of writes that took effect and were not answered.
+	RepliesLost int
+	// GreatestReadRate is the greatest number of reads and watches in any second.
+	GreatestReadRate int
+	// GreatestWriteRate is the greatest number of writes in any second.
+	GreatestWriteRate int
+}
+
+// Store is a fake of the platform's key-value store.
+type Store struct {
+	*Endpoint
+	clock tiller.Clock
+
+	mu      sync.Mutex
+	keys    map[string]*record
+	leases  leases
+	reads   rateLimit
+	writes  rateLimit
+	faults  StoreFaults
+	counts  StoreCounts
+	changed chan struct{}
+	closed  bool
+}
+
+// record is the history of one key. Its version keeps growing after the key vanished.
+type record struct {
+	now     *platform.Entry
+	before  *platform.Entry
+	version int64
+}
+
+// set replaces the entry of the key; nil means that the key is not there.
+func (r *record) set(e *platform.Entry) {
+	r.before = r.now
+	r.now = e
+}
+
+// NewStore returns an empty Store whose leases and rates follow clock.
+// It fails only when the generated server can't be made.
+func NewStore(settings StoreSettings, clock tiller.Clock) (*Store, error) {
+	s := &Store{
+		clock:   clock,
+		keys:    map[string]*record{},
+		leases:  leases{ends: map[int64]lease{}},
+		reads:   rateLimit{perSecond: orDefault(settings.ReadsPerSecond, DefaultReadsPerSecond)},
+		writes:  rateLimit{perSecond: orDefault(settings.WritesPerSecond, DefaultWritesPerSecond)},
+		changed: make(chan struct{}),
+	}
+	h, err := newPlatformHandler(s, nil)
+	if err != nil {
+		return nil, err
+	}
+	s.Endpoint = NewEndpoint(h)
+	return s, nil
+}
+
+func orDefault(n, value int) int {
+	if n == 0 {
+		return value
+	}
+	return n
+}
+
+// Close ends every watch, closes the listener and every connection, and waits for the running handlers.
+// Later calls are answered Unavailable.
+func (s *Store) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.wake()
+	s.mu.Unlock()
+	s.Endpoint.Close()
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.wake()
+}
+
+// Faults returns the faults in force; LoseReplies is the number of writes still to come.
+func (s *Store) Faults() StoreFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Counts returns the counts so far.
+func (s *Store) Counts() StoreCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := s.counts
+	counts.GreatestReadRate = s.reads.offered.greatest
+	counts.GreatestWriteRate = s.writes.offered.greatest
+	return counts
+}
+
+// GetKey answers a read.
+func (s *Store) GetKey(ctx context.Context, params platform.GetKeyParams) (*platform.Entry, error) {
+	if err := s.begin(ctx, s.countRead); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.read(params.Key, s.faults.StaleReads)
+}
+
+// PutKey answers a write.
+func (s *Store) PutKey(ctx context.Context, req *platform.Write, params platform.PutKeyParams) (*platform.Entry, error) {
+	if err := s.begin(ctx, s.countWrite); err != nil {
+		return nil, err
+	}
+	e, lost, err := s.write(params.Key, *req)
+	if lost {
+		abort(ctx)
+	}
+	return e, err
+}
+
+// NewError maps an error to its answer.
+func (s *Store) NewError(_ context.Context, err error) *platform.StoreErrorStatusCode {
+	if known, ok := errors.Into[*platform.StoreErrorStatusCode](err); ok {
+		return known
+	}
+	return storeError(platform.StoreErrorReasonUnavailable, err.Error())
+}
+
+// begin counts a call with count, which reports whether it is within the rate limit,
+// and waits for the added latency.
+func (s *Store) begin(ctx context.Context, count func(now tiller.Millis) bool) error {
+	s.mu.Lock()
+	within := count(s.clock.Now())
+	if !within {
+		s.counts.RateLimited++
+	}
+	latency := s.faults.LatencyMillis
+	s.mu.Unlock()
+	if err := sleep(ctx, latency); err != nil {
+		return err
+	}
+	if err := s.unavailable(); err != nil {
+		return err
+	}
+	if !within {
+		return storeError(platform.StoreErrorReasonRateLimited, "too many calls in one second")
+	}
+	return nil
+}
+
+func (s *Store) countRead(now tiller.Millis) bool {
+	s.counts.Reads++
+	return s.reads.take(now)
+}
+
+func (s *Store) countWrite(now tiller.Millis) bool {
+	s.counts.Writes++
+	return s.writes.take(now)
+}
+
+func (s *Store) unavailable() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unavailableLocked()
+}
+
+func (s *Store) unavailableLocked() error {
+	if s.faults.Outage || s.closed {
+		return storeError(platform.StoreErrorReasonUnavailable, "the store is down")
+	}
+	return nil
+}
+
+// read returns the entry of key as it is, or as it was before its last change.
+func (s *Store) read(key string, stale bool) (*platform.Entry, error) {
+	s.expire()
+	r := s.keys[key]
+	if r == nil {
+		return nil, storeError(platform.StoreErrorReasonNotFound, "no such key")
+	}
+	e := r.now
+	if stale {
+		e = r.before
+	}
+	if e == nil {
+		return nil, storeError(platform.StoreErrorReasonNotFound, "no such key")
+	}
+	return e, nil
+}
+
+// write applies a compare-and-swap. lost says that it took effect and its reply is to be lost.
+func (s *Store) write(key string, w platform.Write) (e *platform.Entry, lost bool, err error) {
+	if len(w.Value) > MaxValueBytes {
+		return nil, false, storeError(platform.StoreErrorReasonTooLarge, "the value is larger than 1 MiB")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if w.Lease.Set && !s.leases.has(w.Lease.Value) {
+		return nil, false, storeError(platform.StoreErrorReasonLeaseEnded, "the lease has ended")
+	}
+	if there := s.version(key); there != w.ExpectedVersion {
+		return nil, false, conflict(there)
+	}
+	e = s.put(key, w)
+	if s.faults.LoseReplies > 0 {
+		s.faults.LoseReplies--
+		s.counts.RepliesLost++
+		return e, true, nil
+	}
+	return e, false, nil
+}
+
+// version returns the version of key; 0 means that it is not there.
+func (s *Store) version(key string) int64 {
+	r := s.keys[key]
+	if r == nil || r.now == nil {
+		return 0
+	}
+	return r.now.Version
+}
+
+// put writes key whatever its version.
+func (s *Store) put(key string, w platform.Write) *platform.Entry {
+	r := s.keys[key]
+	if r == nil {
+		r = &record{}
+		s.keys[key] = r
+	}
+	r.version++
+	e := &platform.Entry{Key: key, Value: w.Value, Version: r.version, Lease: w.Lease}
+	r.set(e)
+	s.wake()
+	return e
+}
+
+// Set writes key whatever its version and returns the new one. It is meant for tests; it is not counted or limited.
+func (s *Store) Set(key, value string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.put(key, platform.Write{Value: value}).Version
+}
+
+// Get returns the value and the version of key. It is meant for tests; it is not counted or limited.
+func (s *Store) Get(key string) (value string, version int64, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, err := s.read(key, false)
+	if err != nil {
+		return "", 0, false
+	}
+	return e.Value, e.Version, true
+}
--- /dev/null
+++ b/faker/upstream_test.go
@@ -0,0 +1,412 @@
+package faker_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/api/upstream"
+	"github.com/carawaytiller/carawaytiller/faker"
+)
+
+// protocols are the two protocols that every upstream serves.
+var protocols = map[string]func(*testing.T) *http.Client{"HTTP/1.1": http1, "HTTP/2": http2}
+
+// TestUpstreamSearch guards against answers that don't echo the request or leave a shard out,
+// and against work for shards that are not served.
+func TestUpstreamSearch(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*upstream.SearchRequest)
+		want   *upstream.SearchError
+	}{
+		{"served", func(*upstream.SearchRequest) {}, nil},
+		{"other snapshot", func(r *upstream.SearchRequest) { r.Snapshot = "n2" }, &upstream.SearchError{Reason: upstream.SearchErrorReasonNoSnapshot}},
+		{"other shard", func(r *upstream.SearchRequest) { r.Shards[1] = "s3" }, &upstream.SearchError{Reason: upstream.SearchErrorReasonNoShard}},
+		{"deadline past", func(r *upstream.SearchRequest) { r.DeadlineMillis = 0 }, &upstream.SearchError{Reason: upstream.SearchErrorReasonTimeout}},
+	}
+	for protocol, h := range protocols {
+		u, address := startUpstream(t, settings(), tiller.SystemClock())
+		c := searcher(t, address, h(t))
+		for _, tt := range tests {
+			t.Run(protocol+" "+tt.name, func(t *testing.T) {
+				r := request(tt.name)
+				tt.change(r)
+				res, refused, err := searchNow(context.Background(), c, r)
+				require.NoError(t, err)
+				if tt.want != nil {
+					require.Equal(t, tt.want.Reason, refused.Reason)
+					require.False(t, refused.Ran)
+					require.Empty(t, u.Runs("search")[r.ID])
+					return
+				}
+				item := func(shard string) []upstream.Item {
+					return []upstream.Item{{Key: "bulletin/n1/" + shard + "/search", Score: 1, Body: r.Body}}
+				}
+				require.Equal(t, &upstream.SearchResponse{
+					ID: r.ID, Attempt: 7, Snapshot: "n1", Incarnation: 1,
+					Shards: []upstream.ShardItems{{Shard: "s1", Items: item("s1")}, {Shard: "s2", Items: item("s2")}},
+				}, res)
+				require.Equal(t, map[string]int{r.ID: 1}, u.Runs("search"))
+			})
+		}
+	}
+}
+
+// burst sends n requests at once and returns how many ended with each reason;
+// "" stands for results and "lost" for no answer.
+func burst(c *upstream.Client, n int) map[string]int {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	ends := map[string]int{}
+	for i := range n {
+		all.Go(func() {
+			_, refused, err := searchNow(context.Background(), c, request(fmt.Sprint("burst-", i)))
+			end := ""
+			if refused != nil {
+				end = string(refused.Reason)
+			}
+			if err != nil {
+				end = "lost"
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			ends[end]++
+		})
+	}
+	all.Wait()
+	return ends
+}
+
+// TestUpstreamSlots guards against more requests at once than slots, and against a queue without bound.
+func TestUpstreamSlots(t *testing.T) {
+	s := settings()
+	s.QueueLimit = 3
+	s.ServiceMillis = 400
+	u, address := startUpstream(t, s, tiller.SystemClock())
+	ends := burst(searcher(t, address, http2(t)), 9)
+	require.Equal(t, map[string]int{"": 5, "Shed": 4}, ends)
+	counts := u.Counts()
+	require.Equal(t, 2, counts.GreatestInFlight)
+	require.Equal(t, 5, counts.Run)
+	require.Equal(t, 4, counts.Shed)
+	require.Equal(t, 0, counts.InFlight)
+}
+
+// TestUpstreamDeadline guards against work after the deadline, against slots that a request keeps
+// after its deadline or its client is gone, and against a wrong word on whether it ran.
+func TestUpstreamDeadline(t *testing.T) {
+	for protocol, h := range protocols {
+		t.Run(protocol, func(t *testing.T) {
+			s := settings()
+			s.Slots = 1
+			s.QueueLimit = 1
+			s.ServiceMillis = 60_000
+			u, address := startUpstream(t, s, tiller.SystemClock())
+			c := searcher(t, address, h(t))
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			gone := make(chan error)
+			go func() {
+				_, _, err := searchNow(ctx, c, request("gone"))
+				gone <- err
+			}()
+			eventually(t, func() bool { return u.Counts().InFlight == 1 })
+
+			r := request("waits")
+			r.DeadlineMillis = 30
+			_, refused, err := searchNow(context.Background(), c, r)
+			require.NoError(t, err)
+			require.Equal(t, upstream.SearchErrorReasonTimeout, refused.Reason)
+			require.False(t, refused.Ran)
+
+			cancel()
+			require.ErrorIs(t, <-gone, context.Canceled)
+			eventually(t, func() bool { return u.Counts().InFlight == 0 })
+
+			r.ID = "runs"
+			_, refused, err = searchNow(context.Background(), c, r)
+			require.NoError(t, err)
+			require.Equal(t, upstream.SearchErrorReasonTimeout, refused.Reason)
+			require.True(t, refused.Ran)
+			require.Equal(t, map[string]int{"gone": 1, "runs": 1}, u.Runs("search"))
+			require.Equal(t, 1, u.Counts().Cancelled)
+		})
+	}
+}
+
+// TestUpstreamConnections guards against connections beyond the limit and against connections that cost nothing.
+func TestUpstreamConnections(t *testing.T) {
+	s := settings()
+	s.Connections = 1
+	s.ConnectMillis = 60
+	u, address := startUpstream(t, s, tiller.SystemClock())
+	first := http2(t)
+	c := searcher(t, address, first)
+	begin := time.Now()
+	_, err := c.Health(context.Background())
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, time.Since(begin), 60*time.Millisecond)
+
+	second, err := net.Dial("tcp", strings.TrimPrefix(address, "http://"))
+	require.NoError(t, err)
+	defer func() { _ = second.Close() }()
+	require.NoError(t, second.SetReadDeadline(time.Now().Add(patience)))
+	_, err = second.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, context.DeadlineExceeded)
+	require.Equal(t, faker.ConnectionCounts{Open: 1, Greatest: 1, Accepted: 1, Refused: 1}, u.Counts().Connections)
+
+	first.CloseIdleConnections()
+	eventually(t, func() bool { return u.Counts().Connections.Open == 0 })
+	_, err = searcher(t, address, http1(t)).Health(context.Background())
+	require.NoError(t, err)
+}
+
+// TestUpstreamColdStart guards against a cold upstream that bears full load or never gets warm.
+func TestUpstreamColdStart(t *testing.T) {
+	var clock manualClock
+	s := settings()
+	s.Slots = 6
+	s.ColdSlots = 2
+	s.ColdRequests = 3
+	s.ColdMillis = 10_000
+	s.RestartMillis = 200
+	s.ServiceMillis = 200
+	u, address := startUpstream(t, s, clock.clock())
+	c := searcher(t, address, http2(t))
+
+	require.Equal(t, map[string]int{"lost": 3}, burst(c, 3))
+	require.Equal(t, 3, u.Counts().GreatestColdInFlight)
+	require.Equal(t, 1, u.Counts().Crashes)
+	_, err := net.Dial("tcp", strings.TrimPrefix(address, "http://"))
+	require.Error(t, err, "connections are refused while the upstream restarts")
+
+	eventually(t, func() bool { return u.Counts().Incarnation == 2 })
+	restarted := func() bool {
+		_, err := c.Health(context.Background())
+		return err == nil
+	}
+	eventually(t, restarted)
+	require.Equal(t, map[string]int{"": 2}, burst(c, 2))
+	res, _, err := searchNow(context.Background(), c, request("third"))
+	require.NoError(t, err)
+	require.False(t, res.Cold, "three completed requests end the cold start")
+	require.EqualValues(t, 2, res.Incarnation)
+	require.Equal(t, map[string]int{"": 6}, burst(c, 6))
+
+	u.GoCold()
+	require.True(t, u.Counts().Cold)
+	clock.advance(10_000)
+	require.False(t, u.Counts().Cold, "time ends the cold start")
+	require.Equal(t, 1, u.Counts().Crashes)
+}
+
+// TestUpstreamFaults guards against faults of responses that do something else than their name says.
+func TestUpstreamFaults(t *testing.T) {
+	const slow = 80 * time.Millisecond
+	tests := []struct {
+		name   string
+		faults faker.UpstreamFaults
+		want   upstream.SearchErrorReason
+		ran    bool
+		slow   bool
+	}{
+		{"none", faker.UpstreamFaults{}, "", false, false},
+		{"draining", faker.UpstreamFaults{Draining: true}, upstream.SearchErrorReasonDraining, false, false},
+		{"fail", faker.UpstreamFaults{Fail: 1}, upstream.SearchErrorReasonUpstreamError, true, false},
+		{"fail on this route", faker.UpstreamFaults{Routes: map[string]faker.RouteFaults{"search": {Fail: 1}}}, upstream.SearchErrorReasonUpstreamError, true, false},
+		{"fail on another route", faker.UpstreamFaults{Routes: map[string]faker.RouteFaults{"print": {Fail: 1}}}, "", false, false},
+		{"slow", faker.UpstreamFaults{ServiceMillis: 80}, "", false, true},
+		{"slow on this route", faker.UpstreamFaults{Routes: map[string]faker.RouteFaults{"search": {ServiceMillis: 80}}}, "", false, true},
+		{"straggler", faker.UpstreamFaults{ServiceMillis: 2, StragglerEvery: 1, StragglerFactor: 40}, "", false, true},
+		{"poison of another body", faker.UpstreamFaults{Poison: "harmful"}, "", false, false},
+	}
+	u, address := startUpstream(t, settings(), tiller.SystemClock())
+	c := searcher(t, address, http2(t))
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			u.SetFaults(tt.faults)
+			begin := time.Now()
+			res, refused, err := searchNow(context.Background(), c, request(tt.name))
+			require.NoError(t, err)
+			if tt.slow {
+				require.GreaterOrEqual(t, time.Since(begin), slow)
+			}
+			if tt.want == "" {
+				require.Equal(t, tt.name, res.ID)
+				return
+			}
+			require.Equal(t, tt.want, refused.Reason)
+			require.Equal(t, tt.ran, refused.Ran)
+			runs := map[bool]int{true: 1}
+			require.Equal(t, runs[tt.ran], u.Runs("search")[tt.name])
+		})
+	}
+}
+
+// TestUpstreamShares guards against shares that are not those asked for, or that differ between runs of one seed.
+func TestUpstreamShares(t *testing.T) {
+	var stragglers, failed []int
+	for range 2 {
+		u, address := startUpstream(t, settings(), tiller.SystemClock())
+		u.SetFaults(faker.UpstreamFaults{StragglerEvery: 10, Fail: 0.2})
+		c := searcher(t, address, http2(t))
+		for i := range 400 {
+			_, _, err := searchNow(context.Background(), c, request(fmt.Sprint(i)))
+			require.NoError(t, err)
+		}
+		stragglers = append(stragglers, u.Counts().Stragglers)
+		failed = append(failed, u.Counts().Failed)
+	}
+	require.Equal(t, stragglers[0], stragglers[1])
+	require.Equal(t, failed[0], failed[1])
+	require.InDelta(t, 40, stragglers[0], 15)
+	require.InDelta(t, 80, failed[0], 25)
+}
+
+// TestUpstreamSilent guards against silent connections that still carry bytes, are closed,
+// or keep new connections from working.
+func TestUpstreamSilent(t *testing.T) {
+	for protocol, h := range protocols {
+		t.Run(protocol, func(t *testing.T) {
+			u, address := startUpstream(t, settings(), tiller.SystemClock())
+			old := searcher(t, address, h(t))
+			_, err := old.Health(context.Background())
+			require.NoError(t, err)
+			u.SetFaults(faker.UpstreamFaults{Silent: true})
+
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			lost := make(chan error)
+			go func() {
+				_, _, err := searchNow(ctx, old, request("lost"))
+				lost <- err
+			}()
+			res, _, err := searchNow(context.Background(), searcher(t, address, h(t)), request("new"))
+			require.NoError(t, err)
+			require.Equal(t, "new", res.ID)
+			u.SetFaults(faker.UpstreamFaults{})
+			require.Equal(t, 2, u.Counts().Connections.Open)
+			require.ErrorIs(t, <-lost, context.DeadlineExceeded)
+			require.Equal(t, map[string]int{"new": 1}, u.Runs("search"), "a silent connection brings no request")
+		})
+	}
+}
+
+// TestUpstreamMismatch guards against a mismatch that a client could not notice.
+func TestUpstreamMismatch(t *testing.T) {
+	u, address := startUpstream(t, settings(), tiller.SystemClock())
+	c := searcher(t, address, http2(t))
+	var got []string
+	for i, mismatch := range []bool{false, true, true, false} {
+		u.SetFaults(faker.UpstreamFaults{Mismatch: mismatch})
+		res, _, err := searchNow(context.Background(), c, request(fmt.Sprint("r", i)))
+		require.NoError(t, err)
+		got = append(got, res.ID)
+	}
+	require.Equal(t, []string{"r0", "r0", "r1", "r3"}, got)
+}
+
+// TestUpstreamPoison guards against a poison request that leaves its upstream running,
+// and against a crash that answers other requests.
+func TestUpstreamPoison(t *testing.T) {
+	s := settings()
+	s.ServiceMillis = 60_000
+	u, address := startUpstream(t, s, tiller.SystemClock())
+	c := searcher(t, address, http2(t))
+	bystander := make(chan error)
+	go func() {
+		_, _, err := searchNow(context.Background(), c, request("bystander"))
+		bystander <- err
+	}()
+	eventually(t, func() bool { return u.Counts().InFlight == 1 })
+	u.SetFaults(faker.UpstreamFaults{Poison: "harmful"})
+	_, _, err := searchNow(context.Background(), searcher(t, address, http1(t)), request("harmful"))
+	require.Error(t, err)
+	require.Error(t, <-bystander)
+	eventually(t, func() bool { return u.Counts().Incarnation == 2 })
+	require.Equal(t, 1, u.Counts().Crashes)
+	require.Equal(t, map[string]int{"bystander": 1, "harmful": 1}, u.Runs("search"))
+}
+
+// TestUpstreamReports guards against a load report without lag and a health report that can't mislead.
+func TestUpstreamReports(t *testing.T) {
+	var clock manualClock
+	s := settings()
+	s.ServiceMillis = 60_000
+	u, address := startUpstream(t, s, clock.clock())
+	u.SetFaults(faker.UpstreamFaults{LoadLagMillis: 500, Unhealthy: true})
+	c := searcher(t, address, http2(t))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan struct{})
+	clock.advance(1000)
+	go func() {
+		defer close(done)
+		_, _, _ = searchNow(ctx, c, request("long"))
+	}()
+	eventually(t, func() bool { return u.Counts().InFlight == 1 })
+	inFlight := func() int {
+		l, err := c.Load(context.Background())
+		require.NoError(t, err)
+		require.Equal(t, 2, l.Slots)
+		return l.InFlight
+	}
+	clock.advance(499)
+	require.Equal(t, 0, inFlight())
+	clock.advance(1)
+	require.Equal(t, 1, inFlight())
+	cancel()
+	<-done
+	eventually(t, func() bool { return u.Counts().InFlight == 0 })
+	require.Equal(t, 1, inFlight())
+	health, err := c.Health(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, upstream.Health{Healthy: false, Incarnation: 1}, *health)
+}
+
+// TestControl guards against faults that can't be swapped over HTTP and against misspelt ones that pass.
+func TestControl(t *testing.T) {
+	u, err := faker.NewUpstream(settings(), tiller.SystemClock())
+	require.NoError(t, err)
+	defer u.Close()
+	s, err := faker.NewStore(faker.StoreSettings{}, tiller.SystemClock())
+	require.NoError(t, err)
+	defer s.Close()
+	tests := []struct {
+		handler      http.Handler
+		method, path string
+		body         string
+		status       int
+		answer       string
+	}{
+		{u.Control(), "PUT", "/fault", `{"Drainin": true}`, http.StatusBadRequest, "unknown field"},
+		{u.Control(), "PUT", "/fault", `{"Draining": true, "Routes": {"print": {"ServiceMillis": 5}}}`, http.StatusNoContent, ""},
+		{u.Control(), "GET", "/fault", "", http.StatusOK, `"Draining":true`},
+		{u.Control(), "PUT", "/fault", `{"Fail": 0.5}`, http.StatusNoContent, ""},
+		{u.Control(), "GET", "/fault", "", http.StatusOK, `"Draining":false`},
+		{u.Control(), "POST", "/crash", "", http.StatusNoContent, ""},
+		{u.Control(), "GET", "/counts", "", http.StatusOK, `"Crashes":1`},
+		{s.Control(), "PUT", "/fault", `{"LoseReplies": 2}`, http.StatusNoContent, ""},
+		{s.Control(), "GET", "/fault", "", http.StatusOK, `"LoseReplies":2`},
+	}
+	for _, tt := range tests {
+		w := httptest.NewRecorder()
+		tt.handler.ServeHTTP(w, httptest.NewRequest(tt.method, tt.path, strings.NewReader(tt.body)))
+		require.Equal(t, tt.status, w.Code, tt)
+		body, err := io.ReadAll(w.Body)
+		require.NoError(t, err)
+		require.Contains(t, string(body), tt.answer)
+	}
+}
--- /dev/null
+++ b/faker/watch.go
@@ -0,0 +1,89 @@
+package faker
+
+import (
+	"context"
+	"time"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/api/platform"
+)
+
+// WatchKey answers a long poll: at once when the version of the key is greater than params.After,
+// else when it becomes greater, else at the end of the wait with the entry as it is then.
+func (s *Store) WatchKey(ctx context.Context, params platform.WatchKeyParams) (*platform.Entry, error) {
+	if err := s.begin(ctx, s.countWatch); err != nil {
+		return nil, err
+	}
+	s.watching(1)
+	defer s.watching(-1)
+	timer := time.NewTimer(tiller.Millis(params.WaitMillis).Duration())
+	defer timer.Stop()
+	for {
+		e, changed, err := s.newer(params.Key, params.After)
+		if e != nil || err != nil {
+			return e, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return s.current(params.Key)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// watching adds n to the number of watches that wait.
+func (s *Store) watching(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Watching += n
+}
+
+// current returns the entry of key as it is now.
+func (s *Store) current(key string) (*platform.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.read(key, false)
+}
+
+func (s *Store) countWatch(now tiller.Millis) bool {
+	s.counts.Watches++
+	return s.reads.take(now)
+}
+
+// newer returns the entry of key when its version is greater than after,
+// else a channel that is closed at the next change of the store.
+func (s *Store) newer(key string, after int64) (*platform.Entry, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.unavailableLocked(); err != nil {
+		return nil, nil, err
+	}
+	s.expire()
+	if r := s.keys[key]; r != nil && r.now != nil && r.now.Version > after {
+		return r.now, nil, nil
+	}
+	return nil, s.changed, nil
+}
+
+// wake lets every watch look again. The caller holds the lock.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// sleep waits for d or until ctx ends, whose cause it then returns.
+func sleep(ctx context.Context, d tiller.Millis) error {
+	if d <= 0 {
+		return context.Cause(ctx)
+	}
+	timer := time.NewTimer(d.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
