Run the fakes as a program

tillerfake serves a store, a list of VMs or an upstream on loopback addresses until it is interrupted. It prints the addresses as one JSON object and logs JSON lines. Faults are swapped at a control address of their own, because the fake itself may be silent, down or out of connections.

--- /dev/null
+++ b/cmd/tillerfake/main_test.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/carawaytiller/carawaytiller/api/platform"
+	"github.com/carawaytiller/carawaytiller/api/upstream"
+)
+
+// TestMain fails when the program leaves a goroutine behind.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// startProgram runs the program and returns its addresses; the test ends by an interrupt,
+// after which the exit code must be 0 and the log JSON lines.
+func startProgram(t *testing.T, args ...string) addresses {
+	ctx, interrupt := context.WithCancel(context.Background())
+	out, in := io.Pipe()
+	var log bytes.Buffer
+	code := make(chan int, 1)
+	go func() {
+		code <- run(ctx, args, in, &log)
+		_ = in.Close()
+	}()
+	t.Cleanup(func() {
+		interrupt()
+		require.Equal(t, exitStopped, <-code)
+		http.DefaultClient.CloseIdleConnections()
+		for _, line := range strings.Split(strings.TrimSpace(log.String()), "\n") {
+			require.True(t, json.Valid([]byte(line)), line)
+		}
+	})
+	var a addresses
+	require.NoError(t, json.NewDecoder(out).Decode(&a))
+	return a
+}
+
+func control(t *testing.T, method, address, path, body string) string {
+	r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	require.NoError(t, err)
+	res, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	answer, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	require.Less(t, res.StatusCode, 300, string(answer))
+	return string(answer)
+}
+
+// TestStore guards against a program whose store ignores its options or its control address.
+func TestStore(t *testing.T) {
+	a := startProgram(t, "store", "--writes", "1")
+	c, err := platform.NewClient("http://" + a.Store)
+	require.NoError(t, err)
+	ctx := context.Background()
+	_, err = c.GrantLease(ctx, &platform.LeaseGrant{TTLMillis: 1})
+	require.NoError(t, err)
+	_, err = c.GrantLease(ctx, &platform.LeaseGrant{TTLMillis: 1})
+	require.ErrorContains(t, err, "RateLimited")
+	control(t, "PUT", a.Control, "/fault", `{"Outage": true}`)
+	_, err = c.GetKey(ctx, platform.GetKeyParams{Key: "k"})
+	require.ErrorContains(t, err, "Unavailable")
+}
+
+// TestVMs guards against VMs of the start that lag, and changes that don't.
+func TestVMs(t *testing.T) {
+	a := startProgram(t, "vms", "--lag", "60000", "--vm", "a,127.0.0.1:1,Kelowna")
+	c, err := platform.NewClient("http://" + a.VMs)
+	require.NoError(t, err)
+	control(t, "DELETE", a.Control, "/vms/a", "")
+	list, err := c.ListVMs(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, []platform.VM{{Name: "a", Address: "127.0.0.1:1", Domain: "Kelowna"}}, list.VMs)
+}
+
+// TestUpstream guards against an upstream that can't be reached by its faults once it is silent.
+func TestUpstream(t *testing.T) {
+	a := startProgram(t, "upstream", "--name", "u1", "--shard", "s1", "--shard", "s2", "--items", "3")
+	c, err := upstream.NewClient("http://" + a.Upstreams["u1"])
+	require.NoError(t, err)
+	r := &upstream.SearchRequest{
+		ID: "r1", Service: "bulletin", Snapshot: "n1", Shards: []string{"s2"},
+		Route: "search", Body: []byte("{}"), Limit: 2, DeadlineMillis: 5000,
+	}
+	res, err := c.Search(context.Background(), r)
+	require.NoError(t, err)
+	require.Len(t, res.(*upstream.SearchResponse).Shards[0].Items, 2)
+	control(t, "PUT", a.Control, "/fault", `{"Silent": true}`)
+	control(t, "PUT", a.Control, "/fault", `{"Draining": true}`)
+	require.JSONEq(t, `{"r1": 1}`, control(t, "GET", a.Control, "/runs/search", ""))
+	http.DefaultClient.CloseIdleConnections()
+	res, err = c.Search(context.Background(), r)
+	require.NoError(t, err)
+	require.Equal(t, upstream.SearchErrorReasonDraining, res.(*upstream.SearchErrorStatusCode).Response.Reason)
+}
+
+// TestExitCodes guards against failures that look like a stop, and against a log that is not JSON.
+func TestExitCodes(t *testing.T) {
+	tests := []struct {
+		name   string
+		args   []string
+		code   int
+		stdout string
+	}{
+		{"help", []string{"--help"}, exitStopped, "Exit codes"},
+		{"help of a sub-command", []string{"store", "--help"}, exitStopped, "(default: 400)"},
+		{"no sub-command", nil, exitUsage, ""},
+		{"unknown option", []string{"store", "--wites", "3"}, exitUsage, ""},
+		{"wrong value", []string{"vms", "--vm", "a"}, exitUsage, ""},
+		{"not a loopback address", []string{"store", "--listen", "0.0.0.0:0"}, exitFailed, ""},
+		{"no slots", []string{"upstream", "--slots", "0"}, exitFailed, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			var stdout, stderr bytes.Buffer
+			require.Equal(t, tt.code, run(ctx, tt.args, &stdout, &stderr))
+			require.Contains(t, strings.Join(strings.Fields(stdout.String()), " "), tt.stdout)
+			if tt.code != exitStopped {
+				require.Empty(t, stdout.String())
+				require.True(t, json.Valid(bytes.TrimSpace(stderr.Bytes())), stderr.String())
+			}
+		})
+	}
+}
