Add package decoder for settings and the operators' document

Both are JSON with comments. The syntax tree of hujson is read by reflection into the Go structs, keeping the offset of every field, and the checks of the whole document follow. So a run reports every fault with its position; only a syntax error ends a run early.

Nesting is bounded to 16 before parsing, because the parser is recursive. Work is linear in the text: the test compares allocations of texts of 1,000 and 8,000 elements.

An upstream named by two services is a fault: the quota of an upstream is divided among the units of one service, so two services would exceed its slots.

--- /dev/null
+++ b/decoder/document.go
@@ -0,0 +1,93 @@
+package decoder
+
+import (
+	"math"
+	"reflect"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// DecodeDocument parses and validates the operators' document. name stands for the text in faults; it may be empty.
+// The document is nil when there are faults.
+func DecodeDocument(name string, text []byte) (*tiller.Document, Faults) {
+	r := newReader(name, "Document", text)
+	tree, ok := r.parse(text)
+	if !ok {
+		return nil, r.faults
+	}
+	doc := &tiller.Document{}
+	r.read("", tree, reflect.ValueOf(doc).Elem())
+	newDocumentCheck(r, doc).run()
+	if len(r.faults) > 0 {
+		return nil, r.faults.sorted()
+	}
+	return doc, nil
+}
+
+// documentCheck checks a decoded document as a whole.
+type documentCheck struct {
+	r   *reader
+	doc *tiller.Document
+	// regions holds the regions that have a failure domain.
+	regions map[string]bool
+	// domains holds the names of the failure domains.
+	domains map[string]bool
+	// upstreams maps the name of an upstream to its failure domain.
+	upstreams map[string]string
+	// serves maps the name of an upstream to the path of the service that uses it.
+	serves map[string]string
+}
+
+// newDocumentCheck returns the check of doc, which was decoded by r.
+func newDocumentCheck(r *reader, doc *tiller.Document) *documentCheck {
+	c := &documentCheck{
+		r:         r,
+		doc:       doc,
+		regions:   map[string]bool{},
+		domains:   map[string]bool{},
+		upstreams: map[string]string{},
+		serves:    map[string]string{},
+	}
+	for _, d := range doc.Domains {
+		c.regions[d.Region] = true
+		c.domains[d.Name] = true
+	}
+	// A missing name or region decodes as the empty string, which nothing may refer to.
+	delete(c.regions, "")
+	delete(c.domains, "")
+	for _, u := range doc.Upstreams {
+		c.upstreams[u.Name] = u.Domain
+	}
+	return c
+}
+
+// run records every fault of the document.
+func (c *documentCheck) run() {
+	c.r.oneOf("Environment", c.doc.Environment, environments)
+	within(c.r, "Revision", c.doc.Revision, 0, math.MaxInt64)
+	within(c.r, "Seats", c.doc.Seats, 1, maxSeats)
+	c.checkDomains()
+	c.checkUpstreams()
+	c.checkServices()
+}
+
+// checkDomains checks the failure domains.
+func (c *documentCheck) checkDomains() {
+	c.r.notEmpty("Domains", len(c.doc.Domains))
+	names := map[string]string{}
+	for i, d := range c.doc.Domains {
+		path := index("Domains", i)
+		c.r.uniqueName(join(path, "Name"), d.Name, names)
+		c.r.text(join(path, "Region"), d.Region)
+	}
+}
+
+// checkServices checks the services.
+func (c *documentCheck) checkServices() {
+	names := map[string]string{}
+	for i, s := range c.doc.Services {
+		path := index("Services", i)
+		c.r.uniqueName(join(path, "Name"), s.Name, names)
+		c.checkService(path, s)
+	}
+}
--- /dev/null
+++ b/decoder/document_test.go
@@ -0,0 +1,197 @@
+package decoder_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/decoder"
+)
+
+// small is a valid document with every kind of object, one object or field a line.
+const small = `{ // comment
+"Environment": "trial",
+"Seats": 2,
+"Domains": [
+{"Name": "a", "Region": "north"},
+{"Name": "b", "Region": "north"},
+],
+"Upstreams": [
+{"Name": "u1", "Address": "10.0.0.1:80", "Domain": "a", "Slots": 2, "Connections": 25},
+{"Name": "u2", "Address": "10.0.0.2:80", "Domain": "b", "Slots": 2, "Connections": 1, "ColdSlots": 2},
+],
+"Services": [
+{"Name": "s",
+"Current": "n1",
+"Routes": [{"Name": "search", "Repeatable": true}, {"Name": "print", "Repeatable": false, "Single": true}],
+"Snapshots": [{"Name": "n1", "Shards": [
+{"Name": "x", "Upstreams": ["u1", "u2"]},
+{"Name": "y", "Upstreams": ["u2"]},
+]}],
+},
+],
+}
+`
+
+func TestDecodeDocumentSetsDefaults(t *testing.T) {
+	doc, faults := decoder.DecodeDocument("small.json", []byte(small))
+	require.Empty(t, faults)
+	want := tiller.Service{
+		Name:    "s",
+		Current: "n1",
+		Routes:  []tiller.Route{{Name: "search", Repeatable: true}, {Name: "print", Single: true}},
+		Snapshots: []tiller.Snapshot{{Name: "n1", Shards: []tiller.Shard{
+			{Name: "x", Upstreams: []string{"u1", "u2"}},
+			{Name: "y", Upstreams: []string{"u2"}},
+		}}},
+		WaitFor:         tiller.WaitForCoverage,
+		NeededCoverage:  0.9,
+		StragglerMillis: 20,
+		DeadlineMillis:  2000,
+		Limit:           10,
+		QueueLimit:      1000,
+		HedgePercent:    5,
+		RetryPercent:    10,
+	}
+	require.Equal(t, []tiller.Service{want}, doc.Services)
+	require.Equal(t, 1, doc.Upstreams[0].ColdSlots)
+	require.Equal(t, tiller.Millis(1), doc.Upstreams[0].ConnectMillis)
+}
+
+// TestDecodeDocumentFaults guards against a fault that is missed, misplaced, or reported with others that follow from it.
+func TestDecodeDocumentFaults(t *testing.T) {
+	tests := []struct{ name, old, new, want string }{
+		{"syntax", `"Seats": 2,`, `"Seats": 2`, `4:1: Document: invalid character '"' after object value (expecting ',' or '}')`},
+		{"literal", `2,`, `0x2,`, `3:10: Document: invalid literal: 0x2`},
+		{"unended comment", `{ // comment`, `{ /* comment`, `1:3: Document: parsing comment: unexpected EOF`},
+		{"deep", `"Seats": 2,`, `"Seats": [[[[[[[[[[[[[[[[2]]]]]]]]]]]]]]]],`, `3:25: Document: nested deeper than 16 levels`},
+		{"unknown field", `"Seats": 2,`, `"Seats": 2, "Seat": 1,`, `3:13: Seat: unknown field`},
+		{"wrong case", `"Single": true`, `"single": true`, "15:84: Services[0].Routes[1].Repeatable: a route that is not Repeatable must be Single\n" +
+			`15:91: Services[0].Routes[1].single: unknown field; the name is Single`},
+		{"duplicate key", `"Seats": 2,`, `"Seats": 2, "Seats": 3,`, `3:13: Seats: duplicate key`},
+		{"fault below a duplicate key", `"Seats": 2,`, `"Seats": 2, "Seats": "x",`, "3:13: Seats: duplicate key\n3:22: Seats: want a whole number, have a string"},
+		{"wrong type", `"Seats": 2,`, `"Seats": "2",`, `3:10: Seats: want a whole number, have a string`},
+		{"null", `"Seats": 2,`, `"Seats": null,`, `3:10: Seats: want a whole number, have null`},
+		{"fraction", `"Seats": 2,`, `"Seats": 2.0,`, `3:10: Seats: want a whole number, have a number 2.0`},
+		{"overflow", `"Seats": 2,`, `"Seats": 99999999999999999999,`, `3:10: Seats: the number is out of range`},
+		{"missing field", `"Seats": 2,`, ``, `1:1: Seats: missing required field`},
+		{"zero", `"Seats": 2,`, `"Seats": 0,`, `3:10: Seats: 0 is less than 1`},
+		{"environment", `"trial"`, `"staging"`, `2:16: Environment: staging is none of trial, production`},
+		{"duplicate domain", `"Name": "b"`, `"Name": "a"`, "6:10: Domains[1].Name: duplicate of Domains[0].Name, a\n10:52: Upstreams[1].Domain: unknown failure domain b"},
+		{"duplicate upstream", `{"Name": "u2", "A`, `{"Name": "u1", "A`, "10:10: Upstreams[1].Name: duplicate of Upstreams[0].Name, u1\n" +
+			"17:35: Services[0].Snapshots[0].Shards[0].Upstreams[1]: unknown upstream u2\n" +
+			"18:29: Services[0].Snapshots[0].Shards[1].Upstreams[0]: unknown upstream u2"},
+		{"one address", `10.0.0.2:80`, `[::ffff:10.0.0.1]:80`, `10:27: Upstreams[1].Address: duplicate of Upstreams[0].Address, "10.0.0.1:80"`},
+		{"host name", `10.0.0.2:80`, `host:80`, `10:27: Upstreams[1].Address: "host:80" is not an IP address with a port, such as 10.0.0.1:8080`},
+		{"no port", `10.0.0.2:80`, `10.0.0.2:0`, `10:27: Upstreams[1].Address: the port is 0`},
+		{"cold slots", `"ColdSlots": 2`, `"ColdSlots": 3`, `10:100: Upstreams[1].ColdSlots: 3 is more than Slots, 2`},
+		{"unknown domain", `"Domain": "b"`, `"Domain": "c"`, `10:52: Upstreams[1].Domain: unknown failure domain c`},
+		{"duplicate route", `"print"`, `"search"`, `15:61: Services[0].Routes[1].Name: duplicate of Services[0].Routes[0].Name, search`},
+		{"not single", `"Single": true`, `"Single": false`, `15:84: Services[0].Routes[1].Repeatable: a route that is not Repeatable must be Single`},
+		{"coverage", `"Current": "n1",`, `"Current": "n1", "NeededCoverage": 1.01,`, `14:36: Services[0].NeededCoverage: 1.01 is more than 1`},
+		{"percentage", `"Current": "n1",`, `"Current": "n1", "HedgePercent": -1, "RetryPercent": 101,`, "14:34: Services[0].HedgePercent: -1 is less than 0\n" +
+			"14:54: Services[0].RetryPercent: 101 is more than 100"},
+		{"straggler", `"Current": "n1",`, `"Current": "n1", "DeadlineMillis": 10, "StragglerMillis": 11,`, `14:59: Services[0].StragglerMillis: 11 is more than 10`},
+		{"wait", `"Current": "n1",`, `"Current": "n1", "WaitFor": "tail",`, `14:29: Services[0].WaitFor: tail is none of Coverage, Tail`},
+		{"region", `"Current": "n1",`, `"Current": "n1", "Region": "west",`, `14:28: Services[0].Region: no failure domain is in region west`},
+		{"current", `"Current": "n1"`, `"Current": "n2"`, `14:12: Services[0].Current: no snapshot is called n2`},
+		{"duplicate shard", `"Name": "y"`, `"Name": "x"`, `18:10: Services[0].Snapshots[0].Shards[1].Name: duplicate of Services[0].Snapshots[0].Shards[0].Name, x`},
+		{"no replica", `["u2"]`, `[]`, `18:28: Services[0].Snapshots[0].Shards[1].Upstreams: empty list`},
+		{"one replica twice", `["u1", "u2"]`, `["u1", "u1"]`, `17:35: Services[0].Snapshots[0].Shards[0].Upstreams[1]: duplicate of Services[0].Snapshots[0].Shards[0].Upstreams[0], u1`},
+		{"unknown upstream", `["u2"]`, `["u3"]`, `18:29: Services[0].Snapshots[0].Shards[1].Upstreams[0]: unknown upstream u3`},
+		{"no failure domain", "[\"u1\", \"u2\"]},\n{\"Name\": \"y\", \"Upstreams\": [\"u2\"]", `["u3"]`, "13:1: Services[0]: the service has no upstream in a known failure domain\n" +
+			"17:29: Services[0].Snapshots[0].Shards[0].Upstreams[0]: unknown upstream u3"},
+		{
+			"shared upstream", "},\n],\n}\n", "},\n{\"Name\": \"t\", \"Current\": \"n\", \"Snapshots\": [{\"Name\": \"n\", \"Shards\": [{\"Name\": \"x\", \"Upstreams\": [\"u1\"]}]}]}],\n}\n",
+			`21:98: Services[1].Snapshots[0].Shards[0].Upstreams[0]: upstream u1 already serves Services[0]; an upstream serves one service`,
+		},
+		{"name", `"Name": "y"`, `"Name": "y\u0000"`, `18:10: Services[0].Snapshots[0].Shards[1].Name: contains a space or a character that does not print`},
+		{"encoding", `"Name": "y"`, "\"Name\": \"\xff\"", `18:10: Services[0].Snapshots[0].Shards[1].Name: not valid UTF-8`},
+		{"no document", small, ``, `1:1: Document: parsing value: unexpected EOF`},
+		{"no object", small, `[]`, `1:1: Document: want an object, have a list`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.Contains(t, small, test.old)
+			text := strings.Replace(small, test.old, test.new, 1)
+			doc, faults := decoder.DecodeDocument("", []byte(text))
+			require.Nil(t, doc)
+			require.Equal(t, test.want, faults.String())
+		})
+	}
+}
+
+// TestDecodeDocumentReportsEveryFault guards against a decoder that stops at the first fault.
+func TestDecodeDocumentReportsEveryFault(t *testing.T) {
+	text := `{"Environment": "x", "Seats": -1, "Extra": 1, "Domains": [{}], "Upstreams": [{"Name": 1}, 2],
+"Services": [{"Name": "", "Current": "c", "Snapshots": [{"Name": "n", "Shards": []}], "Limit": 0}]}`
+	_, faults := decoder.DecodeDocument("d.json", []byte(text))
+	want := []string{
+		`d.json:1:17: Environment: x is none of trial, production`,
+		`d.json:1:31: Seats: -1 is less than 1`,
+		`d.json:1:35: Extra: unknown field`,
+		`d.json:1:59: Domains[0].Name: missing required field`,
+		`d.json:1:59: Domains[0].Region: missing required field`,
+		`d.json:1:78: Upstreams[0].Address: missing required field`,
+		`d.json:1:78: Upstreams[0].Connections: missing required field`,
+		`d.json:1:78: Upstreams[0].Domain: missing required field`,
+		`d.json:1:78: Upstreams[0].Slots: missing required field`,
+		`d.json:1:87: Upstreams[0].Name: want a string, have a number 1`,
+		`d.json:1:91: Upstreams[1]: want an object, have a number 2`,
+		`d.json:2:14: Services[0]: the service has no upstream in a known failure domain`,
+		`d.json:2:23: Services[0].Name: empty`,
+		`d.json:2:38: Services[0].Current: no snapshot is called c`,
+		`d.json:2:81: Services[0].Snapshots[0].Shards: empty list`,
+		`d.json:2:96: Services[0].Limit: 0 is less than 1`,
+	}
+	require.Equal(t, strings.Join(want, "\n"), faults.String())
+}
+
+// TestDecodeDocumentIsLinear guards against work that grows faster than the text, which an operator
+// or a damaged store value could use to stall a daemon. It counts allocations, which do not depend on the machine.
+func TestDecodeDocumentIsLinear(t *testing.T) {
+	texts := map[string]func(n int) string{
+		"valid":          manyUpstreams,
+		"unknown fields": func(n int) string { return "{" + strings.Repeat(`"aaaaaaaa":1,`, n) + "}" },
+		"wrong elements": func(n int) string { return `{"Domains":[` + strings.Repeat("1,", n) + "]}" },
+		"duplicate keys": func(n int) string { return "{" + strings.Repeat(`"Seats":1,`, n) + "}" },
+		"empty objects":  func(n int) string { return `{"Services":[` + strings.Repeat("{},", n) + "]}" },
+		"open brackets":  func(n int) string { return strings.Repeat("[", n) },
+		"comments":       func(n int) string { return strings.Repeat("/**///\n", n) },
+	}
+	for name, text := range texts {
+		t.Run(name, func(t *testing.T) {
+			few := allocations(text(1000))
+			many := allocations(text(8000))
+			require.Less(t, many, 9*few+100)
+		})
+	}
+}
+
+// allocations counts the allocations of decoding text.
+func allocations(text string) float64 {
+	return testing.AllocsPerRun(1, func() { decoder.DecodeDocument("", []byte(text)) })
+}
+
+// manyUpstreams returns a valid document with n upstreams.
+func manyUpstreams(n int) string {
+	var b strings.Builder
+	b.WriteString(`{"Environment":"trial","Seats":1,"Domains":[{"Name":"a","Region":"r"}],"Services":[],"Upstreams":[`)
+	for i := range n {
+		fmt.Fprintf(&b, `{"Name":"%d","Address":"10.0.%d.%d:80","Domain":"a","Slots":2,"Connections":25},`, i, i/256, i%256)
+	}
+	b.WriteString("]}")
+	return b.String()
+}
+
+// TestDecodeDocumentBoundsTheSize guards against a text that the store cannot hold.
+func TestDecodeDocumentBoundsTheSize(t *testing.T) {
+	pad := func(size int) []byte { return []byte(small + strings.Repeat(" ", size-len(small))) }
+	_, faults := decoder.DecodeDocument("", pad(decoder.MaxTextBytes))
+	require.Empty(t, faults)
+	_, faults = decoder.DecodeDocument("", pad(decoder.MaxTextBytes+1))
+	require.Equal(t, "1:1: Document: the text has 1000001 bytes, more than 1000000", faults.String())
+}
--- /dev/null
+++ b/decoder/fuzz_test.go
@@ -0,0 +1,54 @@
+package decoder_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaytiller/carawaytiller/decoder"
+)
+
+// FuzzDecodeDocument looks for texts that make the decoder panic, that give a fault outside of the text,
+// or whose document does not survive encoding.
+func FuzzDecodeDocument(f *testing.F) {
+	f.Add([]byte(small))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		doc, faults := decoder.DecodeDocument("d", text)
+		require.Equal(t, len(faults) > 0, doc == nil)
+		requireInside(t, text, faults)
+		if doc == nil {
+			return
+		}
+		encoded, err := decoder.Encode(doc)
+		require.NoError(t, err)
+		again, faults := decoder.DecodeDocument("e", encoded)
+		require.Empty(t, faults)
+		require.Equal(t, doc, again)
+		require.Empty(t, decoder.Diff(doc, again))
+	})
+}
+
+// FuzzDecodeSettings looks for texts that make the decoder panic or that give a fault outside of the text.
+func FuzzDecodeSettings(f *testing.F) {
+	f.Add([]byte(settings))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		_, faults := decoder.DecodeSettings("s", text)
+		requireInside(t, text, faults)
+	})
+}
+
+// requireInside requires that the faults are in order and that their positions are in text or at its end.
+func requireInside(t *testing.T, text []byte, faults decoder.Faults) {
+	lines := bytes.Split(text, []byte("\n"))
+	line, column := 0, 0
+	for _, fault := range faults {
+		require.NotEmpty(t, fault.Field)
+		require.NotEmpty(t, fault.Reason)
+		require.Positive(t, fault.Column)
+		require.LessOrEqual(t, fault.Line, len(lines))
+		require.LessOrEqual(t, fault.Column, len(lines[fault.Line-1])+1)
+		require.True(t, fault.Line > line || (fault.Line == line && fault.Column >= column), "order of %s", fault)
+		line, column = fault.Line, fault.Column
+	}
+}
--- /dev/null
+++ b/decoder/settings.go
@@ -0,0 +1,131 @@
+package decoder
+
+import (
+	"reflect"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// Settings are the settings of one daemon process.
+type Settings struct {
+	// Name identifies the VM in logs and in the seat directory.
+	Name string
+	// Domain is the failure domain of the VM.
+	Domain string
+	// Environment is "trial" or "production"; it selects the document.
+	Environment string
+	// CallerAddress is the IP address and port that serves callers. Port 0 means any free port.
+	CallerAddress string
+	// OperatorAddress is the IP address and port that serves operators. Port 0 means any free port.
+	OperatorAddress string
+	// PeerAddress is the IP address and UDP port at which the other daemons reach this one.
+	// It is optional when Seat is set.
+	PeerAddress string
+	// PlatformAddresses are the addresses of the platform's store. They are optional when Seat is set.
+	PlatformAddresses []string
+	// CertificateFile, KeyFile and AuthorityFile are the PEM files for mutual TLS between daemons:
+	// all three are set, or none.
+	CertificateFile string
+	KeyFile         string
+	AuthorityFile   string
+	// Seat is a fixed seat for single-process use; nil means that the process claims a seat in the store.
+	Seat *int
+	// LogLevel is "debug", "info", "warn" or "error"; the default is "info".
+	LogLevel string
+	// StopMillis bounds a planned stop, in milliseconds; the default is 30,000.
+	StopMillis tiller.Millis
+}
+
+// logLevels lists the values of LogLevel.
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+// DecodeSettings parses and validates the settings of a daemon. name stands for the text in faults; it may be empty.
+// The settings are zero when there are faults.
+func DecodeSettings(name string, text []byte) (Settings, Faults) {
+	r := newReader(name, "Settings", text)
+	tree, ok := r.parse(text)
+	if !ok {
+		return Settings{}, r.faults
+	}
+	var s Settings
+	r.read("", tree, reflect.ValueOf(&s).Elem())
+	r.checkSettings(s)
+	if len(r.faults) > 0 {
+		return Settings{}, r.faults.sorted()
+	}
+	return s, nil
+}
+
+// checkSettings records every fault of s.
+func (r *reader) checkSettings(s Settings) {
+	r.text("Name", s.Name)
+	r.text("Domain", s.Domain)
+	r.oneOf("Environment", s.Environment, environments)
+	r.checkListeners(s)
+	r.checkPlatform(s)
+	r.checkFiles(s)
+	if s.Seat != nil {
+		within(r, "Seat", *s.Seat, 0, maxSeats-1)
+	}
+	r.oneOf("LogLevel", s.LogLevel, logLevels)
+	within(r, "StopMillis", s.StopMillis, 1, maxStop)
+}
+
+// checkListeners checks the addresses that the daemon serves.
+func (r *reader) checkListeners(s Settings) {
+	caller, callerOK := r.address("CallerAddress", s.CallerAddress)
+	operator, operatorOK := r.address("OperatorAddress", s.OperatorAddress)
+	if callerOK && operatorOK && caller == operator && caller.Port() != 0 {
+		r.faultAt("OperatorAddress", "same as CallerAddress")
+	}
+	if peer, ok := r.address("PeerAddress", s.PeerAddress); ok && peer.Addr().IsUnspecified() {
+		r.faultAt("PeerAddress", "%s is no address of one host", peer.Addr())
+	}
+	r.requireWithoutSeat("PeerAddress", s)
+}
+
+// checkPlatform checks the addresses of the platform's store.
+func (r *reader) checkPlatform(s Settings) {
+	r.requireWithoutSeat("PlatformAddresses", s)
+	if s.Seat == nil {
+		r.notEmpty("PlatformAddresses", len(s.PlatformAddresses))
+	}
+	seen := map[string]string{}
+	for i, value := range s.PlatformAddresses {
+		path := index("PlatformAddresses", i)
+		if a, ok := r.remoteAddress(path, value); ok {
+			r.unique(path, a.String(), seen)
+		}
+	}
+}
+
+// requireWithoutSeat records a fault when a field is absent that only a fixed seat makes optional.
+func (r *reader) requireWithoutSeat(path string, s Settings) {
+	if _, present := r.places[path]; !present && s.Seat == nil && r.given("") {
+		r.faultAt(path, "missing required field; it is optional only with a fixed Seat")
+	}
+}
+
+// checkFiles checks that all files for TLS are set, or none.
+func (r *reader) checkFiles(s Settings) {
+	files := []struct{ path, value string }{
+		{"CertificateFile", s.CertificateFile},
+		{"KeyFile", s.KeyFile},
+		{"AuthorityFile", s.AuthorityFile},
+	}
+	set := 0
+	for _, f := range files {
+		if f.value != "" {
+			set++
+		}
+	}
+	if set == 0 || set == len(files) {
+		return
+	}
+	for _, f := range files {
+		_, present := r.places[f.path]
+		if f.value == "" && (!present || r.given(f.path)) {
+			r.faultAt(f.path, "CertificateFile, KeyFile and AuthorityFile must all be set, or none")
+		}
+	}
+}
--- /dev/null
+++ b/decoder/syntax.go
@@ -0,0 +1,117 @@
+package decoder
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+const (
+	// MaxTextBytes is the greatest size of a text. The platform's store holds values up to 1 MiB.
+	MaxTextBytes = 1_000_000
+	// MaxNesting is the greatest depth of objects and lists. A document needs 8; the bound keeps
+	// the recursive parser from exhausting the stack.
+	MaxNesting = 16
+	// maxReasonBytes keeps a fault readable when the parser quotes a long literal.
+	maxReasonBytes = 160
+)
+
+// parse returns the syntax tree of text, and whether the text is well-formed.
+func (r *reader) parse(text []byte) (hujson.Value, bool) {
+	if len(text) > MaxTextBytes {
+		r.fault(0, r.root, "the text has %d bytes, more than %d", len(text), MaxTextBytes)
+		return hujson.Value{}, false
+	}
+	if offset, deep := tooDeep(text); deep {
+		r.fault(offset, r.root, "nested deeper than %d levels", MaxNesting)
+		return hujson.Value{}, false
+	}
+	tree, err := hujson.Parse(text)
+	if err != nil {
+		offset, reason := r.syntaxError(err)
+		r.fault(offset, r.root, "%s", reason)
+		return hujson.Value{}, false
+	}
+	return tree, true
+}
+
+// syntaxError splits an error of the parser into its offset and its reason.
+func (r *reader) syntaxError(err error) (offset int, reason string) {
+	var line, column int
+	reason = err.Error()
+	if _, scanErr := fmt.Sscanf(reason, "hujson: line %d, column %d:", &line, &column); scanErr != nil {
+		return 0, shorten(reason)
+	}
+	parts := strings.SplitN(reason, ": ", 3)
+	return r.lines.offset(line, column), shorten(parts[len(parts)-1])
+}
+
+// shorten cuts s to maxReasonBytes.
+func shorten(s string) string {
+	if len(s) <= maxReasonBytes {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxReasonBytes], "") + "..."
+}
+
+// tooDeep returns the offset of the first bracket that exceeds MaxNesting.
+func tooDeep(text []byte) (offset int, deep bool) {
+	depth := 0
+	for i := 0; i < len(text); i++ {
+		switch text[i] {
+		case '"':
+			i = stringEnd(text, i)
+		case '/':
+			i = commentEnd(text, i)
+		case '{', '[':
+			depth++
+		case '}', ']':
+			depth--
+		}
+		if depth > MaxNesting {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// stringEnd returns the offset of the quote that closes the string starting at i, or the length of text.
+func stringEnd(text []byte, i int) int {
+	for i++; i < len(text); i++ {
+		switch text[i] {
+		case '\\':
+			i++
+		case '"':
+			return i
+		}
+	}
+	return len(text)
+}
+
+// commentEnd returns the offset of the last byte of the comment starting at i, i when there is none,
+// or the length of text when the comment has no end.
+func commentEnd(text []byte, i int) int {
+	end := commentMark(text[i:])
+	if end == nil {
+		return i
+	}
+	start := i + len("//")
+	n := bytes.Index(text[start:], end)
+	if n < 0 {
+		return len(text)
+	}
+	return start + n + len(end) - 1
+}
+
+// commentMark returns the bytes that end the comment at the start of text, or nil when there is no comment.
+func commentMark(text []byte) []byte {
+	switch {
+	case bytes.HasPrefix(text, []byte("//")):
+		return []byte("\n")
+	case bytes.HasPrefix(text, []byte("/*")):
+		return []byte("*/")
+	}
+	return nil
+}
