--- /dev/null
+++ b/sampler/content.go
@@ -0,0 +1,113 @@
+package sampler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+)
+
+// content is what a record says, without its place in a service.
+type content func(r *rand.Rand) (kind, text string, fields map[string][]string)
+
+// ingredients maps an ingredient to the allergens that it brings.
+var ingredients = []struct {
+	name      string
+	allergens []string
+}{
+	{"sesame seeds", []string{"sesame"}},
+	{"tahini", []string{"sesame"}},
+	{"wheat flour", []string{"gluten"}},
+	{"rye flour", []string{"gluten"}},
+	{"barley", []string{"gluten"}},
+	{"butter", []string{"milk"}},
+	{"cream", []string{"milk"}},
+	{"eggs", []string{"egg"}},
+	{"hazelnuts", []string{"nuts"}},
+	{"almonds", []string{"nuts"}},
+	{"soy sauce", []string{"soy", "gluten"}},
+	{"tofu", []string{"soy"}},
+	{"salmon", []string{"fish"}},
+	{"prawns", []string{"crustaceans"}},
+	{"celery", []string{"celery"}},
+	{"mustard", []string{"mustard"}},
+	{"rice", nil},
+	{"lentils", nil},
+	{"caraway", nil},
+	{"carrots", nil},
+	{"onions", nil},
+	{"apples", nil},
+	{"honey", nil},
+	{"lemon", nil},
+}
+
+var (
+	styles = []string{"Coastal", "Harvest", "Winter", "Market", "Smoked", "Golden", "Country", "Spiced"}
+	dishes = []string{"loaf", "soup", "noodles", "salad", "pie", "stew", "dumplings", "biscuits", "porridge"}
+	// clauses are the subjects of a clause of an agreement, with its unit.
+	clauses = []struct{ name, unit string }{
+		{"bridging pay", "weeks"},
+		{"notice period", "weeks"},
+		{"overtime", "hours"},
+		{"shift allowance", "percent"},
+		{"annual leave", "days"},
+		{"redundancy pay", "weeks"},
+		{"training time", "days"},
+		{"sick pay", "weeks"},
+		{"travel time", "hours"},
+		{"night work", "hours"},
+		{"parental leave", "weeks"},
+		{"standby duty", "hours"},
+	}
+	employers = []string{"Harbour", "Ferry", "Library", "Hospital", "Railway", "Theatre", "Council", "College"}
+	trades    = []string{"crews", "porters", "clerks", "drivers", "cleaners", "technicians", "teachers"}
+)
+
+// recipes makes a recipe with its ingredients and allergens.
+func recipes(r *rand.Rand) (kind, text string, fields map[string][]string) {
+	names, allergens := mixture(r)
+	title := pick(r, styles) + " " + pick(r, dishes)
+	text = fmt.Sprintf("%s for %d people.", title, 2+r.IntN(10))
+	return "recipe", text, map[string][]string{"Ingredients": names, "Allergens": allergens}
+}
+
+// labels makes the declaration of a label.
+func labels(r *rand.Rand) (kind, text string, fields map[string][]string) {
+	names, allergens := mixture(r)
+	declaration := "Free of declared allergens."
+	if len(allergens) > 0 {
+		declaration = "Contains " + strings.Join(allergens, ", ") + "."
+	}
+	text = fmt.Sprintf("%s %s, %d g. %s", pick(r, styles), pick(r, dishes), 100+50*r.IntN(9), declaration)
+	return "label", text, map[string][]string{"Ingredients": names, "Allergens": allergens}
+}
+
+// agreements makes an agreement with its clauses.
+func agreements(r *rand.Rand) (kind, text string, fields map[string][]string) {
+	var subjects, sentences []string
+	for _, i := range r.Perm(len(clauses))[:3+r.IntN(4)] {
+		subjects = append(subjects, clauses[i].name)
+		sentences = append(sentences, fmt.Sprintf("%s: %d %s.", clauses[i].name, 2+r.IntN(30), clauses[i].unit))
+	}
+	text = fmt.Sprintf("%s agreement for %s. %s", pick(r, employers), pick(r, trades), strings.Join(sentences, " "))
+	return "agreement", text, map[string][]string{"Clauses": subjects}
+}
+
+// mixture picks ingredients and returns them with the allergens that they bring, each once.
+func mixture(r *rand.Rand) (names, allergens []string) {
+	seen := map[string]bool{}
+	for _, i := range r.Perm(len(ingredients))[:3+r.IntN(4)] {
+		names = append(names, ingredients[i].name)
+		for _, a := range ingredients[i].allergens {
+			if !seen[a] {
+				seen[a] = true
+				allergens = append(allergens, a)
+			}
+		}
+	}
+	return names, allergens
+}
+
+// pick returns one of words.
+func pick(r *rand.Rand, words []string) string {
+	return words[r.IntN(len(words))]
+}
--- /dev/null
+++ b/sampler/deployment.go
@@ -0,0 +1,119 @@
+package sampler
+
+import (
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// The names of the deployments.
+const (
+	// Guild is a guild of caterers: recipes, allergens and labels. It gives most weight to tail latency.
+	Guild = "Guild"
+	// Lochan is a union: agreements and their clauses. It gives most weight to coverage.
+	Lochan = "Lochan"
+)
+
+// Names of the snapshots. Services with two snapshots have the newer one as the current one.
+const (
+	olderSnapshot = "2026-03-01"
+	newerSnapshot = "2026-03-08"
+)
+
+// deployment is one row group of the table of deployments in docs/design.md.
+type deployment struct {
+	region  string
+	domains []string
+	groups  []group
+	waitFor tiller.WaitFor
+	// coverage is the needed coverage of every service.
+	coverage float64
+}
+
+// group is a number of services of one kind.
+type group struct {
+	name string
+	// count is the number of services; a group of one service has no number in its name.
+	count     int
+	upstreams int
+	slots     int
+	// connections and connectMillis are per upstream and per new connection.
+	connections   int
+	connectMillis tiller.Millis
+	coldSlots     int
+	// shards is the number of shards of each snapshot, oldest first.
+	shards []int
+	routes []tiller.Route
+	// content is what the records of the service are about.
+	content content
+	// records is the number of records in the oldest snapshot.
+	records int
+}
+
+var (
+	search = []tiller.Route{{Name: "search", Repeatable: true}}
+	// searchAndPrint has a route that must run at most once: a label is printed on paper.
+	searchAndPrint = []tiller.Route{{Name: "search", Repeatable: true}, {Name: "print", Single: true}}
+)
+
+// deployments maps the name of a deployment to its services.
+var deployments = map[string]deployment{
+	Guild: {
+		region:   "british-columbia",
+		domains:  []string{"Burnaby", "Kelowna", "Nanaimo"},
+		waitFor:  tiller.WaitForTail,
+		coverage: 0.75,
+		groups: []group{
+			desk("recipe-desk", recipes),
+			ledger("costing-ledger", recipes),
+			{
+				name: "label-printer", count: 1, upstreams: 9, slots: 3, connections: 40, connectMillis: 1,
+				coldSlots: 1, shards: []int{12}, routes: searchAndPrint, content: labels, records: 96,
+			},
+			{
+				name: "audit-archive", count: 1, upstreams: 4, slots: 3, connections: 40, connectMillis: 1,
+				coldSlots: 1, shards: []int{12, 16}, routes: search, content: labels, records: 96,
+			},
+		},
+	},
+	Lochan: {
+		region:   "scotland",
+		domains:  []string{"Glasgow", "Edinburgh", "Aberdeen"},
+		waitFor:  tiller.WaitForCoverage,
+		coverage: 0.9,
+		groups: []group{
+			desk("casework-desk", agreements),
+			ledger("dues-ledger", agreements),
+			{
+				name: "case-files", count: 1, upstreams: 4, slots: 6, connections: 110, connectMillis: 1,
+				coldSlots: 2, shards: []int{12, 16}, routes: search, content: agreements, records: 96,
+			},
+			{
+				name: "bulletin", count: 1, upstreams: 3, slots: 6, connections: 110, connectMillis: 1,
+				coldSlots: 2, shards: []int{8}, routes: search, content: agreements, records: 96,
+			},
+		},
+	},
+}
+
+// desk returns a group of 20 small services whose index was divided anew.
+func desk(name string, c content) group {
+	g := small(name, c)
+	g.count = 20
+	g.shards = []int{4, 6}
+	return g
+}
+
+// ledger returns a group of 30 small services with one snapshot.
+func ledger(name string, c content) group {
+	g := small(name, c)
+	g.count = 30
+	g.shards = []int{4}
+	return g
+}
+
+// small returns a group of services on two upstreams of two slots.
+func small(name string, c content) group {
+	return group{
+		name: name, upstreams: 2, slots: 2, connections: 25, connectMillis: 6,
+		coldSlots: 1, routes: search, content: c, records: 24,
+	}
+}
--- /dev/null
+++ b/sampler/record.go
@@ -0,0 +1,81 @@
+package sampler
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+)
+
+// Record is one entry of the index of a service. Keys are unique within a snapshot of a service.
+type Record struct {
+	Service  string
+	Snapshot string
+	Shard    string
+	Key      string
+	Text     string
+	// Fields holds lists of words, such as Ingredients, Allergens or Clauses. They are searched like Text.
+	// Edition tells the same record of two snapshots apart.
+	Fields map[string][]string
+}
+
+const (
+	// seed is fixed, so that all programs and tests have the same records.
+	seed = 20260301
+	// poolSize is the number of different contents of one kind; small services share them.
+	poolSize = 240
+	// revisedEvery says which records have another text in the newer snapshot.
+	revisedEvery = 3
+)
+
+// Records returns the records of a deployment, ordered by service, snapshot and key, or nil for an unknown deployment.
+// A newer snapshot has all records of the older one, some of them revised, and a quarter more.
+func Records(deployment string) []Record {
+	var out []Record
+	d := deployments[deployment]
+	for _, s := range d.services() {
+		pool := s.pool()
+		for i, shards := range s.group.shards {
+			out = append(out, s.records(pool, i, shards)...)
+		}
+	}
+	return out
+}
+
+// pool returns the contents that the service draws from, with their keys.
+func (s sample) pool() []Record {
+	r := rand.New(rand.NewPCG(seed, 0))
+	out := make([]Record, poolSize)
+	for i := range out {
+		kind, text, fields := s.group.content(r)
+		out[i] = Record{Key: fmt.Sprintf("%s-%04d", kind, i+1), Text: text, Fields: fields}
+	}
+	return out
+}
+
+// records returns the records of snapshot i of the service, spread evenly over its shards.
+func (s sample) records(pool []Record, i, shards int) []Record {
+	n := s.group.records + i*s.group.records/4
+	out := make([]Record, n)
+	for k := range out {
+		out[k] = edition(pool[(s.ordinal*s.group.records+k)%poolSize], i, k)
+		out[k].Service = s.name
+		out[k].Snapshot = snapshotName(i)
+		out[k].Shard = shardName(k % shards)
+	}
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
+// edition returns record k as it stands in snapshot i.
+func edition(r Record, i, k int) Record {
+	number := 1
+	if i > 0 && k%revisedEvery == 0 {
+		number++
+		r.Text += " Revised."
+	}
+	r.Fields = maps.Clone(r.Fields)
+	r.Fields["Edition"] = []string{fmt.Sprint(number)}
+	return r
+}
