Add the value packages of the query path

The reducer composes limits, fair queue, latency and budgets, retry rules, ranks and grouping, merge, digests of poison requests, single-use tokens and the ring of decisions. Each is a package without I/O, so each is tested on its own.

--- /dev/null
+++ b/hedger/budget.go
@@ -0,0 +1,40 @@
+package hedger
+
+// Budget is a token bucket filled by first requests. It is an immutable value;
+// the With methods return the changed copy.
+type Budget struct {
+	// tokens is in hundredths of a request, so that whole percentages add up exactly.
+	tokens  int
+	percent int
+	limit   int
+}
+
+// hundredths is the price of one extra request.
+const hundredths = 100
+
+// NewBudget returns an empty Budget that gains percent extra requests in 100 first ones
+// and holds at most burst extra requests.
+func NewBudget(percent, burst int) Budget {
+	return Budget{percent: max(percent, 0), limit: max(burst, 0) * hundredths}
+}
+
+// WithFirst returns b after n first requests.
+func (b Budget) WithFirst(n int) Budget {
+	b.tokens = min(b.tokens+n*b.percent, b.limit)
+	return b
+}
+
+// WithPercent returns b with another share of extra requests.
+func (b Budget) WithPercent(percent int) Budget {
+	b.percent = max(percent, 0)
+	return b
+}
+
+// Allows says whether the budget covers n extra requests.
+func (b Budget) Allows(n int) bool { return b.tokens >= n*hundredths }
+
+// WithSpent returns b after n extra requests.
+func (b Budget) WithSpent(n int) Budget {
+	b.tokens -= n * hundredths
+	return b
+}
--- /dev/null
+++ b/hedger/hedger_test.go
@@ -0,0 +1,53 @@
+package hedger_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/hedger"
+)
+
+func ExampleBudget() {
+	b := hedger.NewBudget(5, 100).WithFirst(19)
+	fmt.Println(b.Allows(1), b.WithFirst(1).Allows(1))
+	// Output: false true
+}
+
+// The extra requests must not pass their share of the first ones, whatever the order.
+func TestBudgetBoundsExtraRequests(t *testing.T) {
+	b := hedger.NewBudget(10, 50)
+	extra := 0
+	for range 1000 {
+		b = b.WithFirst(1)
+		for b.Allows(1) {
+			b = b.WithSpent(1)
+			extra++
+		}
+	}
+	require.Equal(t, 100, extra)
+	require.False(t, hedger.NewBudget(5, 10).WithFirst(100_000).Allows(11))
+}
+
+// Old measurements must not decide when hedged requests start after the service has become faster,
+// and nothing may be taken as known after a long pause.
+func TestLatencyForgets(t *testing.T) {
+	l := hedger.NewLatency()
+	now := tiller.Millis(0)
+	for i := range 1000 {
+		l.Record(now, tiller.Millis(100+i%100))
+	}
+	require.InDelta(t, 195, int(l.High(now)), 3)
+	require.InDelta(t, 150, int(l.Median(now)), 3)
+	for i := range 1000 {
+		now += 20
+		l.Record(now, tiller.Millis(10+i%10))
+	}
+	require.LessOrEqual(t, l.Extreme(now), tiller.Millis(20))
+	require.True(t, l.Known(now))
+	now += tiller.Minute
+	require.False(t, l.Known(now))
+	require.Zero(t, l.High(now))
+}
--- /dev/null
+++ b/quarantiner/table.go
@@ -0,0 +1,243 @@
+package quarantiner
+
+import (
+	"slices"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+const (
+	// HoldMillis is the time for which a digest stays blocked, suspected or known as clean.
+	HoldMillis = 10 * tiller.Minute
+	// DomainMillis is the time within which the loss of several upstreams of one failure domain
+	// is taken for a failure of the domain and not for the effect of a request.
+	DomainMillis = tiller.Second
+	// blockingLosses is the number of different upstreams lost at which a digest is blocked.
+	blockingLosses = 2
+	// suspectLimit bounds the number of digests with losses.
+	suspectLimit = 4096
+)
+
+// Suspect is a digest with losses, as it is passed on to other daemons.
+type Suspect struct {
+	Digest uint64
+	// Losses is the number of different upstreams lost.
+	Losses int
+	// Expires is the remaining time in milliseconds for which the suspicion holds.
+	Expires tiller.Millis
+}
+
+// Table holds what is known of digests. It changes in place and has one owner.
+type Table struct {
+	suspects map[uint64]suspect
+	clean    *cleanSet
+	// domains holds the latest losses of upstreams by failure domain.
+	domains map[string][]upstreamLoss
+}
+
+// suspect is a digest with losses; it is replaced as a whole.
+type suspect struct {
+	losses  []loss
+	expires tiller.Millis
+}
+
+type loss struct {
+	upstream string
+	domain   string
+	at       tiller.Millis
+}
+
+type upstreamLoss struct {
+	upstream string
+	at       tiller.Millis
+}
+
+// New returns an empty table that remembers at most cleanLimit clean digests.
+func New(cleanLimit int) *Table {
+	return &Table{
+		suspects: make(map[uint64]suspect),
+		clean:    newCleanSet(cleanLimit),
+		domains:  make(map[string][]upstreamLoss),
+	}
+}
+
+// Losses returns the number of different upstreams lost with the digest outstanding.
+func (t *Table) Losses(now tiller.Millis, digest uint64) int {
+	s, ok := t.suspects[digest]
+	if !ok {
+		return 0
+	}
+	if now >= s.expires {
+		delete(t.suspects, digest)
+		return 0
+	}
+	return len(s.losses)
+}
+
+// Blocked says whether requests with the digest are refused.
+func (t *Table) Blocked(now tiller.Millis, digest uint64) bool {
+	return t.Losses(now, digest) >= blockingLosses
+}
+
+// Suspected says whether an upstream was lost with the digest outstanding.
+func (t *Table) Suspected(now tiller.Millis, digest uint64) bool {
+	return t.Losses(now, digest) > 0
+}
+
+// Clean says whether the digest is known to be harmless.
+func (t *Table) Clean(now tiller.Millis, digest uint64) bool {
+	return t.clean.has(now, digest) && !t.Suspected(now, digest)
+}
+
+// LostWith returns the upstreams lost with the digest outstanding, and the latest loss in each domain
+// as a time before which another loss in that domain would not be counted.
+func (t *Table) LostWith(now tiller.Millis, digest uint64) (upstreams []string, until map[string]tiller.Millis) {
+	if t.Losses(now, digest) == 0 {
+		return nil, nil
+	}
+	until = make(map[string]tiller.Millis)
+	for _, l := range t.suspects[digest].losses {
+		upstreams = append(upstreams, l.upstream)
+		until[l.domain] = max(until[l.domain], l.at+DomainMillis)
+	}
+	return upstreams, until
+}
+
+// Succeed records that a request with the digest got its response. Earlier losses no longer
+// count, unless the digest is blocked.
+func (t *Table) Succeed(now tiller.Millis, digest uint64) {
+	if t.Blocked(now, digest) {
+		return
+	}
+	delete(t.suspects, digest)
+}
+
+// Finish records that a request with the digest completed normally, which makes it clean.
+func (t *Table) Finish(now tiller.Millis, digest uint64) {
+	t.Succeed(now, digest)
+	t.clean.add(now, digest)
+}
+
+// Lose records that an upstream was lost while the digests were outstanding on it,
+// and returns the digests that are blocked from now on.
+func (t *Table) Lose(now tiller.Millis, upstream, domain string, digests []uint64) []uint64 {
+	if t.domainFailed(now, upstream, domain) {
+		t.forgetDomain(now, domain)
+		return nil
+	}
+	var blocked []uint64
+	for _, digest := range digests {
+		before := t.Losses(now, digest)
+		t.add(now, digest, loss{upstream: upstream, domain: domain, at: now})
+		if before < blockingLosses && t.Blocked(now, digest) {
+			blocked = append(blocked, digest)
+		}
+	}
+	return blocked
+}
+
+// Learn records what another daemon knows of a digest, and says whether it is blocked from now on.
+func (t *Table) Learn(now tiller.Millis, s Suspect) bool {
+	before := t.Losses(now, s.Digest)
+	if s.Losses <= before || s.Expires <= 0 {
+		return false
+	}
+	if !t.hasRoom(now) {
+		return false
+	}
+	learned := suspect{expires: now + min(s.Expires, HoldMillis)}
+	learned.losses = slices.Clone(t.suspects[s.Digest].losses)
+	for len(learned.losses) < min(s.Losses, blockingLosses) {
+		learned.losses = append(learned.losses, loss{at: now})
+	}
+	t.suspects[s.Digest] = learned
+	return before < blockingLosses && s.Losses >= blockingLosses
+}
+
+// Suspects returns at most limit digests with losses, blocked ones first, in a fixed order.
+func (t *Table) Suspects(now tiller.Millis, limit int) []Suspect {
+	if len(t.suspects) == 0 {
+		return nil
+	}
+	found := make([]Suspect, 0, len(t.suspects))
+	for digest, s := range t.suspects {
+		if now < s.expires {
+			found = append(found, Suspect{Digest: digest, Losses: len(s.losses), Expires: s.expires - now})
+		}
+	}
+	slices.SortFunc(found, compareSuspects)
+	return found[:min(limit, len(found))]
+}
+
+func compareSuspects(a, b Suspect) int {
+	if a.Losses != b.Losses {
+		return b.Losses - a.Losses
+	}
+	if a.Digest < b.Digest {
+		return -1
+	}
+	return 1
+}
+
+func (t *Table) add(now tiller.Millis, digest uint64, l loss) {
+	old := t.suspects[digest]
+	for _, o := range old.losses {
+		if o.upstream == l.upstream {
+			return
+		}
+	}
+	if len(old.losses) == 0 && !t.hasRoom(now) {
+		return
+	}
+	t.suspects[digest] = suspect{
+		losses:  append(slices.Clone(old.losses), l),
+		expires: now + HoldMillis,
+	}
+	t.clean.remove(digest)
+}
+
+// hasRoom says whether one more digest can be suspected, after removing the expired ones when there are many.
+func (t *Table) hasRoom(now tiller.Millis) bool {
+	if len(t.suspects) < suspectLimit {
+		return true
+	}
+	for digest, s := range t.suspects {
+		if now >= s.expires {
+			delete(t.suspects, digest)
+		}
+	}
+	return len(t.suspects) < suspectLimit
+}
+
+// domainFailed records the loss of an upstream and says whether another one of its
+// failure domain was lost within DomainMillis.
+func (t *Table) domainFailed(now tiller.Millis, upstream, domain string) bool {
+	recent := t.domains[domain][:0]
+	failed := false
+	for _, l := range t.domains[domain] {
+		if l.at+DomainMillis <= now || l.upstream == upstream {
+			continue
+		}
+		recent = append(recent, l)
+		failed = true
+	}
+	t.domains[domain] = append(recent, upstreamLoss{upstream: upstream, at: now})
+	return failed
+}
+
+// forgetDomain takes back the losses counted in a failure domain within DomainMillis.
+func (t *Table) forgetDomain(now tiller.Millis, domain string) {
+	for digest, s := range t.suspects {
+		kept := slices.DeleteFunc(slices.Clone(s.losses), func(l loss) bool {
+			return l.domain == domain && l.at+DomainMillis > now
+		})
+		if len(kept) == len(s.losses) {
+			continue
+		}
+		if len(kept) == 0 {
+			delete(t.suspects, digest)
+			continue
+		}
+		t.suspects[digest] = suspect{losses: kept, expires: s.expires}
+	}
+}
--- /dev/null
+++ b/quarantiner/table_test.go
@@ -0,0 +1,98 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/quarantiner"
+)
+
+func ExampleTable() {
+	t := quarantiner.New(1000)
+	t.Lose(0, "u1", "glasgow", []uint64{7, 8})
+	t.Succeed(10, 8)
+	t.Lose(20, "u2", "edinburgh", []uint64{7, 8})
+	fmt.Println(t.Blocked(20, 7), t.Blocked(20, 8))
+	// Output: true false
+}
+
+// Guards against blocking requests that were only near a failure, and against letting harmful ones go on.
+func TestLosses(t *testing.T) {
+	tests := []struct {
+		name    string
+		act     func(*quarantiner.Table)
+		blocked bool
+	}{
+		{"two upstreams", func(q *quarantiner.Table) {
+			q.Lose(0, "u1", "a", []uint64{1})
+			q.Lose(10, "u2", "b", []uint64{1})
+		}, true},
+		{"one upstream twice", func(q *quarantiner.Table) {
+			q.Lose(0, "u1", "a", []uint64{1})
+			q.Lose(5000, "u1", "a", []uint64{1})
+		}, false},
+		{"success in between", func(q *quarantiner.Table) {
+			q.Lose(0, "u1", "a", []uint64{1})
+			q.Succeed(5, 1)
+			q.Lose(10, "u2", "b", []uint64{1})
+		}, false},
+		{"failure domain within 1 s", func(q *quarantiner.Table) {
+			q.Lose(0, "u1", "a", []uint64{1})
+			q.Lose(900, "u2", "a", []uint64{1})
+		}, false},
+		{"one failure domain, slowly", func(q *quarantiner.Table) {
+			q.Lose(0, "u1", "a", []uint64{1})
+			q.Lose(1000, "u2", "a", []uint64{1})
+		}, true},
+		{"not outstanding at the second", func(q *quarantiner.Table) {
+			q.Lose(0, "u1", "a", []uint64{1})
+			q.Lose(10, "u2", "b", []uint64{2})
+		}, false},
+		{"learned from another daemon", func(q *quarantiner.Table) {
+			require.True(t, q.Learn(0, quarantiner.Suspect{Digest: 1, Losses: 2, Expires: 5000}))
+		}, true},
+		{"blocked then domain failure", func(q *quarantiner.Table) {
+			q.Lose(0, "u1", "a", []uint64{1})
+			q.Lose(10, "u2", "b", []uint64{1})
+			q.Lose(20, "u3", "b", nil)
+		}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			q := quarantiner.New(10)
+			test.act(q)
+			require.Equal(t, test.blocked, q.Blocked(1000, 1))
+			require.False(t, q.Blocked(1000+quarantiner.HoldMillis, 1))
+		})
+	}
+}
+
+// The set of clean digests must stay bounded, forget with time and forget a digest with a loss.
+func TestCleanDigests(t *testing.T) {
+	q := quarantiner.New(100)
+	for d := range uint64(1000) {
+		q.Finish(0, d)
+	}
+	known := 0
+	for d := range uint64(1000) {
+		if q.Clean(1, d) {
+			known++
+		}
+	}
+	require.LessOrEqual(t, known, 100)
+	require.True(t, q.Clean(1, 999))
+	q.Lose(1, "u", "a", []uint64{999})
+	q.Succeed(2, 999)
+	require.False(t, q.Clean(2, 999))
+	require.False(t, q.Clean(quarantiner.HoldMillis, 998))
+}
+
+// Digests of different requests that run together must differ.
+func TestDigestSeparatesFields(t *testing.T) {
+	a := quarantiner.Digest(tiller.Query{Service: "ab", Route: "c"})
+	b := quarantiner.Digest(tiller.Query{Service: "a", Route: "bc"})
+	require.NotEqual(t, a, b)
+}
--- /dev/null
+++ b/recorder/ring_test.go
@@ -0,0 +1,36 @@
+package recorder_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/recorder"
+)
+
+func ExampleRing() {
+	r := recorder.New(100)
+	r.Add(recorder.Decision{At: 1, Request: "q1", What: recorder.Arrived})
+	r.Add(recorder.Decision{At: 2, Request: "q1", What: recorder.Refused, Reason: tiller.ReasonQueueFull})
+	for _, d := range r.Of("q1") {
+		fmt.Printf("%d %s %q\n", d.At, d.What, d.Reason)
+	}
+	// Output:
+	// 1 Arrived ""
+	// 2 Refused "QueueFull"
+}
+
+// A ring that loses its newest decisions or mixes up their order explains nothing.
+func TestRingKeepsTheNewestInOrder(t *testing.T) {
+	r := recorder.New(5)
+	for i := range 13 {
+		r.Add(recorder.Decision{At: tiller.Millis(i), Request: tiller.RequestID(fmt.Sprint(i % 2))})
+	}
+	var at []tiller.Millis
+	for _, d := range r.Of("0") {
+		at = append(at, d.At)
+	}
+	require.Equal(t, []tiller.Millis{8, 10, 12}, at)
+}
--- /dev/null
+++ b/retrier/decide.go
@@ -0,0 +1,62 @@
+package retrier
+
+import tiller "github.com/carawaytiller/carawaytiller"
+
+const (
+	// baseMillis is the longest wait before the first retry; it doubles with each further one.
+	baseMillis tiller.Millis = 4
+	// longestMillis bounds the wait before a retry.
+	longestMillis tiller.Millis = 256
+)
+
+// Try describes a failed request.
+type Try struct {
+	Verdict tiller.Verdict
+	Reason  tiller.Reason
+	// Repeatable says whether the request may run more than once.
+	Repeatable bool
+	// Round is the number of earlier retries.
+	Round int
+	// Overloaded says that retries are disabled because too much waits.
+	Overloaded bool
+	// Now is the present time, End the time at which the answer is given, and
+	// Expected the usual response time.
+	Now, End, Expected tiller.Millis
+	Random             uint64
+}
+
+// Decision says whether a request is sent again.
+type Decision struct {
+	Retry bool
+	// At is the time of the retry.
+	At tiller.Millis
+	// Reason says why there is none: the reason of the failure, ReasonRetryBudget or ReasonTimeout.
+	Reason tiller.Reason
+}
+
+// Decide returns whether and when the request may be sent again. After NotRun any request may be,
+// after MayHaveRun only a repeatable one, and none that would end after its deadline.
+func Decide(t Try) Decision {
+	if !MaySendAgain(t.Verdict, t.Repeatable) {
+		return Decision{Reason: t.Reason}
+	}
+	if t.Overloaded {
+		return Decision{Reason: tiller.ReasonRetryBudget}
+	}
+	at := t.Now + wait(t.Round, t.Random)
+	if at+t.Expected >= t.End {
+		return Decision{Reason: t.Reason}
+	}
+	return Decision{Retry: true, At: at}
+}
+
+// MaySendAgain says whether a request with the given verdict may be sent to an upstream once more.
+func MaySendAgain(v tiller.Verdict, repeatable bool) bool {
+	return v == tiller.NotRun || repeatable
+}
+
+// wait returns a random time of at least 1 ms, so that requests that failed together do not return together.
+func wait(round int, random uint64) tiller.Millis {
+	longest := min(baseMillis<<min(round, 16), longestMillis)
+	return 1 + tiller.Millis(random%uint64(longest))
+}
--- /dev/null
+++ b/retrier/decide_test.go
@@ -0,0 +1,50 @@
+package retrier_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/retrier"
+)
+
+func ExampleDecide() {
+	d := retrier.Decide(retrier.Try{
+		Verdict: tiller.MayHaveRun, Reason: tiller.ReasonConnectionLost, Now: 10, End: 500,
+	})
+	fmt.Println(d.Retry, d.Reason)
+	// Output: false ConnectionLost
+}
+
+// Guards against a second run of a request that is not repeatable, against retries under overload
+// and against retries that end too late.
+func TestDecide(t *testing.T) {
+	base := retrier.Try{Verdict: tiller.NotRun, Reason: tiller.ReasonShed, Now: 100, End: 200, Expected: 10}
+	tests := []struct {
+		name   string
+		change func(*retrier.Try)
+		retry  bool
+		reason tiller.Reason
+	}{
+		{"not run", func(*retrier.Try) {}, true, ""},
+		{"may have run, repeatable", func(t *retrier.Try) { t.Verdict, t.Repeatable = tiller.MayHaveRun, true }, true, ""},
+		{"may have run, not repeatable", func(t *retrier.Try) { t.Verdict = tiller.MayHaveRun }, false, tiller.ReasonShed},
+		{"ran, not repeatable", func(t *retrier.Try) { t.Verdict = tiller.Ran }, false, tiller.ReasonShed},
+		{"overloaded", func(t *retrier.Try) { t.Overloaded = true }, false, tiller.ReasonRetryBudget},
+		{"too late", func(t *retrier.Try) { t.End = 111 }, false, tiller.ReasonShed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			try := base
+			test.change(&try)
+			d := retrier.Decide(try)
+			require.Equal(t, test.retry, d.Retry)
+			require.Equal(t, test.reason, d.Reason)
+		})
+	}
+	late := base
+	late.Round, late.Random, late.End = 60, 1<<63-1, 10_000
+	require.LessOrEqual(t, retrier.Decide(late).At, base.Now+256)
+}
--- /dev/null
+++ b/retrier/doc.go
@@ -0,0 +1,3 @@
+// Package retrier decides whether and when a request that failed on an upstream is sent again.
+// Times are in milliseconds.
+package retrier
--- /dev/null
+++ b/router/group.go
@@ -0,0 +1,67 @@
+package router
+
+// None says that no upstream takes a shard.
+const None int32 = -1
+
+// Group is the part of a query that goes to one upstream in one attempt.
+type Group struct {
+	// Upstream is the index of the upstream among those of the snapshot.
+	Upstream int32
+	// Shards are the indexes of the shards.
+	Shards []int32
+}
+
+// Grouper groups shards by the upstream chosen for each. It keeps working space between calls.
+type Grouper struct {
+	choices []int32
+	counts  []int32
+	order   []int32
+}
+
+// Group asks choose for the upstream of each shard and returns one group for each upstream,
+// in the order in which the upstreams were first chosen, and the shards for which choose returned None.
+// The upstreams are numbered below upstreams.
+func (g *Grouper) Group(shards []int32, upstreams int, choose func(shard int32) int32) (groups []Group, none []int32) {
+	g.reset(upstreams)
+	placed := 0
+	for _, shard := range shards {
+		u := choose(shard)
+		g.choices = append(g.choices, u)
+		if u == None {
+			none = append(none, shard)
+			continue
+		}
+		if g.counts[u] == 0 {
+			g.order = append(g.order, u)
+		}
+		g.counts[u]++
+		placed++
+	}
+	groups = make([]Group, len(g.order))
+	space := make([]int32, placed)
+	for i, u := range g.order {
+		n := g.counts[u]
+		groups[i] = Group{Upstream: u, Shards: space[:0:n]}
+		space = space[n:]
+		g.counts[u] = int32(i)
+	}
+	for i, shard := range shards {
+		if u := g.choices[i]; u != None {
+			group := &groups[g.counts[u]]
+			group.Shards = append(group.Shards, shard)
+		}
+	}
+	return groups, none
+}
+
+// reset clears only the counts used by the last call, so that its cost does not depend
+// on the number of upstreams.
+func (g *Grouper) reset(upstreams int) {
+	for _, u := range g.order {
+		g.counts[u] = 0
+	}
+	g.choices, g.order = g.choices[:0], g.order[:0]
+	if len(g.counts) < upstreams {
+		g.counts = make([]int32, upstreams)
+	}
+}
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,150 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/router"
+)
+
+func ExampleOwners() {
+	fmt.Println(router.Owners([]tiller.Upstream{{Slots: 64, Connections: 10}, {Slots: 40, Connections: 12}}, 8))
+	// Output: 5
+}
+
+func seats(n, domains, regions int) []router.Seat {
+	d := &tiller.Document{Seats: n}
+	for i := range domains {
+		d.Domains = append(d.Domains, tiller.Domain{Name: fmt.Sprint("d", i), Region: fmt.Sprint("r", i%regions)})
+	}
+	return router.Seats(d)
+}
+
+// Guards against a rank that reshuffles when a seat leaves, and against weights without effect.
+func TestRankIsStableAndWeighted(t *testing.T) {
+	all := seats(20, 4, 2)
+	all[3].Weight = 4
+	first := 0
+	for key := range uint64(4000) {
+		ranked := router.Rank(key, all)
+		if ranked[0].Number == 3 {
+			first++
+		}
+		rest := router.Rank(key, all[1:])
+		i := 0
+		for _, s := range ranked {
+			if s.Number != 0 {
+				require.Equal(t, s.Number, rest[i].Number)
+				i++
+			}
+		}
+	}
+	require.InDelta(t, 4000*4/23, first, 100)
+}
+
+// Voters outside the home region, or all in one failure domain, would lose a unit in a partition or a domain failure.
+func TestVotersPreferRegionThenDomains(t *testing.T) {
+	tests := []struct {
+		name                      string
+		seats, domains, regions   int
+		wantDomains, wantInRegion int
+	}{
+		{"three domains in one region", 8, 3, 1, 3, 3},
+		{"one home domain of two regions", 8, 2, 2, 1, 3},
+		{"nine domains in three regions", 90, 9, 3, 3, 3},
+		{"one seat in the home region", 4, 4, 4, 3, 1},
+		{"two seats in all", 2, 2, 2, 2, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			all := seats(test.seats, test.domains, test.regions)
+			for index := range 50 {
+				voters := router.Voters("s", index, "r0", all)
+				domains, home := map[string]bool{}, 0
+				for _, v := range voters {
+					domains[all[v].Domain] = true
+					if all[v].Region == "r0" {
+						home++
+					}
+				}
+				require.Len(t, voters, min(3, test.seats))
+				require.Len(t, domains, test.wantDomains)
+				require.Equal(t, test.wantInRegion, home)
+			}
+		})
+	}
+}
+
+// Quotas that add up to more than the upstream's slots let the units overload it together.
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 100).Draw(t, "n")
+		owners := rapid.IntRange(1, 12).Draw(t, "owners")
+		name := rapid.String().Draw(t, "upstream")
+		sum := 0
+		for i := range owners {
+			sum += router.Share(n, name, i, owners)
+		}
+		require.Equal(t, n, sum)
+		require.GreaterOrEqual(t, router.Share(n, name, router.ColdUnit(name, owners), owners), min(n, 1))
+	})
+}
+
+// An epoch that changes when a domain is taken out would stop all owners at the worst time.
+func TestEpochFollowsVoterSetsOnly(t *testing.T) {
+	d := &tiller.Document{Seats: 8, Domains: []tiller.Domain{{Name: "a", Region: "x"}, {Name: "b", Region: "x"}}}
+	before := router.Epoch(d)
+	d.Domains[0].Out, d.Revision = true, 7
+	require.Equal(t, before, router.Epoch(d))
+	d.Seats = 9
+	require.NotEqual(t, before, router.Epoch(d))
+}
+
+// Each shard must be in exactly one group, on the upstream chosen for it.
+func TestGroupsHoldEachShardOnce(t *testing.T) {
+	g := &router.Grouper{}
+	rapid.Check(t, func(t *rapid.T) {
+		choice := rapid.SliceOfN(rapid.Int32Range(-1, 9), 0, 60).Draw(t, "choice")
+		shards := make([]int32, len(choice))
+		for i := range shards {
+			shards[i] = int32(i)
+		}
+		groups, none := g.Group(shards, 10, func(s int32) int32 { return choice[s] })
+		seen := map[int32]bool{}
+		for _, group := range groups {
+			for _, s := range group.Shards {
+				require.Equal(t, group.Upstream, choice[s])
+				require.False(t, seen[s])
+				seen[s] = true
+			}
+		}
+		for _, s := range none {
+			require.Equal(t, router.None, choice[s])
+		}
+		require.Len(t, shards, len(seen)+len(none))
+	})
+}
+
+// The order of preference decides which upstream gets the next request.
+func TestBetter(t *testing.T) {
+	warm := router.Candidate{Index: 1, InFlight: 3, Limit: 4}
+	cold := router.Candidate{Index: 2, InFlight: 0, Limit: 4, Cold: true}
+	idle := router.Candidate{Index: 3, InFlight: 1, Limit: 2}
+	failed := router.Candidate{Index: 4, InFlight: 0, Limit: 4, Failed: true}
+	require.True(t, router.Better(warm, cold, 1))
+	require.True(t, router.Better(idle, warm, 1))
+	require.True(t, router.Better(cold, failed, 1))
+	wins := 0
+	for random := range uint64(1000) {
+		other := idle
+		other.Index = 9
+		if router.Better(idle, other, random) {
+			wins++
+		}
+	}
+	require.InDelta(t, 500, wins, 60)
+}
