Decide the query path in the reducer

Step admits, queues, pins, groups, sends, checks and merges, with limits, hedged requests, retries, canaries, tokens and forwarding to owners. The tests run it in virtual time against fake upstreams and check the invariants after each step.

--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -31,7 +31,9 @@
 	Caller string
 	ID     tiller.RequestID
 	// To is the seat that forwarded the query, or LocalCaller.
-	To     int
+	To int
+	// Ref is that of the QueryArrived.
+	Ref    uint64
 	Result tiller.Result
 }
 
@@ -52,6 +54,11 @@
 	Redirects int
 }
 
+// CancelForward cancels a query forwarded to a peer; nothing more is expected from it.
+type CancelForward struct {
+	Forward ForwardID
+}
+
 // SendLease sends a message of the lease protocol to a seat.
 type SendLease struct {
 	To      int
@@ -76,6 +83,7 @@
 func (Reply) effect()         {}
 func (IssueToken) effect()    {}
 func (Forward) effect()       {}
+func (CancelForward) effect() {}
 func (SendLease) effect()     {}
 func (Wake) effect()          {}
 func (Count) effect()         {}
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -25,6 +25,8 @@
 	From int
 	// Redirects counts the daemons that have passed the query on.
 	Redirects int
+	// Ref identifies the waiting caller or stream within the runner; the Reply carries it back.
+	Ref uint64
 }
 
 // LocalCaller marks a query that came from a caller and not from a peer.
@@ -35,6 +37,9 @@
 	Stamp
 	Caller string
 	ID     tiller.RequestID
+	// Ref is that of the QueryArrived. When it is not 0, only the query that arrived with it is meant,
+	// so that the end of a duplicate does not cancel the first.
+	Ref uint64
 }
 
 // TokenRequested says that a caller asks for a single-use token.
--- /dev/null
+++ b/reducer/fake_test.go
@@ -0,0 +1,217 @@
+package reducer_test
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/reducer"
+)
+
+const (
+	restartMillis tiller.Millis = 500
+	silentMillis  tiller.Millis = 250
+	poisonBody                  = "poison"
+)
+
+// fake is an upstream with slots, that is cold after a start and crashes above its cold allowance.
+type fake struct {
+	sim  *sim
+	spec tiller.Upstream
+	// service draws the time that a request takes.
+	service func() tiller.Millis
+	// warmAfter is the number of completed requests after which the upstream is warm.
+	warmAfter int
+
+	running     map[tiller.AttemptID]tiller.SearchRequest
+	incarnation int64
+	completed   int
+	down        bool
+	silent      bool
+	shedding    bool
+	draining    bool
+	// lacks are the snapshots that it does not serve.
+	lacks   []string
+	crashes int
+	// overloads counts the crashes from more requests than the cold allowance.
+	overloads int
+	// runs counts the requests run, by identifier.
+	runs map[tiller.RequestID]int
+	busy float64
+}
+
+func newFake(s *sim, spec tiller.Upstream) *fake {
+	f := &fake{
+		sim: s, spec: spec, incarnation: 1, completed: math.MaxInt32, warmAfter: 20,
+		running: map[tiller.AttemptID]tiller.SearchRequest{}, runs: map[tiller.RequestID]int{},
+	}
+	f.service = func() tiller.Millis { return logNormal(s, 20, 0.4) }
+	return f
+}
+
+// logNormal draws a time with the given median.
+func logNormal(s *sim, median, sigma float64) tiller.Millis {
+	return tiller.Millis(math.Round(median * math.Exp(sigma*s.rng.NormFloat64())))
+}
+
+// straggling makes one in n times factor times longer.
+func straggling(s *sim, n int, factor tiller.Millis, draw func() tiller.Millis) func() tiller.Millis {
+	return func() tiller.Millis {
+		if s.rng.IntN(n) == 0 {
+			return draw() * factor
+		}
+		return draw()
+	}
+}
+
+func (f *fake) isCold() bool { return f.completed < f.warmAfter }
+
+func (f *fake) receive(r tiller.SearchRequest) {
+	switch {
+	case f.down:
+		f.fail(r, tiller.NotRun, tiller.ReasonConnectFailed)
+		f.sim.after(f.sim.hop, func() { f.report(false) })
+	case f.silent:
+		f.sim.after(silentMillis, func() { f.fail(r, tiller.MayHaveRun, tiller.ReasonSilent) })
+	case f.draining:
+		f.fail(r, tiller.NotRun, tiller.ReasonDraining)
+	case slices.Contains(f.lacks, r.Snapshot):
+		f.fail(r, tiller.NotRun, tiller.ReasonNoSnapshot)
+	case f.shedding, !f.isCold() && len(f.running) >= f.spec.Slots:
+		f.fail(r, tiller.NotRun, tiller.ReasonShed)
+	default:
+		f.start(r)
+	}
+}
+
+func (f *fake) start(r tiller.SearchRequest) {
+	f.running[r.Attempt] = r
+	f.runs[r.ID]++
+	if string(r.Body) == poisonBody {
+		f.crash()
+		return
+	}
+	if f.isCold() && len(f.running) > f.spec.ColdSlots {
+		f.overloads++
+		f.crash()
+		return
+	}
+	incarnation, took := f.incarnation, f.service()
+	f.busy += float64(took)
+	f.sim.after(took, func() { f.finish(r, incarnation) })
+}
+
+func (f *fake) finish(r tiller.SearchRequest, incarnation int64) {
+	if _, ok := f.running[r.Attempt]; !ok || incarnation != f.incarnation {
+		return
+	}
+	delete(f.running, r.Attempt)
+	if f.sim.now > r.Deadline {
+		f.fail(r, tiller.MayHaveRun, tiller.ReasonTimeout)
+		return
+	}
+	f.completed++
+	resp := tiller.SearchResponse{
+		ID: r.ID, Attempt: r.Attempt, Snapshot: r.Snapshot, Incarnation: f.incarnation, Cold: f.isCold(),
+	}
+	for _, sh := range r.Shards {
+		resp.Shards = append(resp.Shards, tiller.ShardItems{Shard: sh, Items: itemsOf(r.Snapshot, sh)})
+	}
+	f.sim.after(f.sim.hop, func() {
+		f.sim.step(reducer.ResponseArrived{Stamp: f.sim.stamp(), Attempt: r.Attempt, Response: resp})
+	})
+}
+
+// itemsOf returns the items of a shard; keys name the snapshot and shard that they come from.
+func itemsOf(snapshot, shard string) []tiller.Item {
+	score := float64(len(shard)) + float64(shard[len(shard)-1])
+	return []tiller.Item{
+		{Key: strings.Join([]string{snapshot, shard, "a"}, "/"), Score: score},
+		{Key: strings.Join([]string{snapshot, shard, "b"}, "/"), Score: score / 2},
+	}
+}
+
+func (f *fake) fail(r tiller.SearchRequest, v tiller.Verdict, reason tiller.Reason) {
+	f.sim.after(f.sim.hop, func() {
+		f.sim.step(reducer.AttemptFailed{Stamp: f.sim.stamp(), Attempt: r.Attempt, Verdict: v, Reason: reason})
+	})
+}
+
+func (f *fake) report(lost bool) {
+	f.sim.step(reducer.UpstreamRestarted{Stamp: f.sim.stamp(), Upstream: f.spec.Name, Lost: lost})
+}
+
+// crash loses everything that runs, and starts the upstream again, cold.
+func (f *fake) crash() {
+	f.crashes++
+	lost := len(f.running) > 0
+	for _, id := range sortedKeys(f.running) {
+		f.fail(f.running[id], tiller.MayHaveRun, tiller.ReasonConnectionLost)
+	}
+	clear(f.running)
+	f.down = true
+	f.incarnation++
+	f.sim.after(f.sim.hop, func() { f.report(lost) })
+	f.sim.after(restartMillis, func() { f.down, f.draining, f.completed = false, false, 0 })
+}
+
+func sortedKeys(m map[tiller.AttemptID]tiller.SearchRequest) []tiller.AttemptID {
+	var ids []tiller.AttemptID
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// cluster describes a document with one service.
+type cluster struct {
+	shards, upstreams, replicas, slots, coldSlots, domains int
+	change                                                 func(*tiller.Document)
+}
+
+// document returns the document of a cluster. Shard i has its replicas on
+// upstreams i, i+1, ... of its part of the ring, in different failure domains.
+func (c cluster) document() *tiller.Document {
+	d := &tiller.Document{Environment: "trial", Revision: 1, Seats: 8}
+	domains := max(c.domains, 3)
+	for i := range domains {
+		d.Domains = append(d.Domains, tiller.Domain{Name: fmt.Sprint("d", i), Region: "r"})
+	}
+	for i := range c.upstreams {
+		d.Upstreams = append(d.Upstreams, tiller.Upstream{
+			Name: fmt.Sprint("u", i), Address: fmt.Sprint("a", i), Domain: fmt.Sprint("d", i%domains), Version: "1",
+			Slots: c.slots, Connections: 25, ColdSlots: max(c.coldSlots, 1),
+		})
+	}
+	sv := tiller.Service{
+		Name: "s", Current: "n1", WaitFor: tiller.WaitForCoverage, NeededCoverage: 1, StragglerMillis: 20,
+		DeadlineMillis: 10_000, Limit: 10, QueueLimit: 100, HedgePercent: 5, RetryPercent: 10,
+		Routes: []tiller.Route{{Name: "search", Repeatable: true}, {Name: "print", Single: true}, {Name: "get", Repeatable: true, Single: true}},
+	}
+	for _, name := range []string{"n1", "n2"} {
+		n := tiller.Snapshot{Name: name}
+		for i := range c.shards {
+			sh := tiller.Shard{Name: fmt.Sprint("s", i)}
+			for r := range c.replicas {
+				sh.Upstreams = append(sh.Upstreams, fmt.Sprint("u", (i+r*max(c.upstreams/c.replicas, 1))%c.upstreams))
+			}
+			n.Shards = append(n.Shards, sh)
+		}
+		sv.Snapshots = append(sv.Snapshots, n)
+	}
+	d.Services = []tiller.Service{sv}
+	if c.change != nil {
+		c.change(d)
+	}
+	return d
+}
+
+// search returns a repeatable query of a caller.
+func (s *sim) search(caller string, deadline tiller.Millis) tiller.Query {
+	return tiller.Query{
+		Caller: caller, Service: "s", Route: "search", Repeatable: true, NeededCoverage: -1, Deadline: s.now + deadline,
+	}
+}
--- /dev/null
+++ b/reducer/hedge.go
@@ -0,0 +1,112 @@
+package reducer
+
+import (
+	"slices"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// hedgeRecheckShare is the part of the hedge time after which an attempt that could not be hedged is looked at again.
+const hedgeRecheckShare = 4
+
+// hedgeOutcome is what came of the look at a slow attempt.
+type hedgeOutcome uint8
+
+const (
+	// hedgeDone means that nothing more can be done for the attempt.
+	hedgeDone hedgeOutcome = iota
+	// hedgeLater means that a hedged request may be possible later.
+	hedgeLater
+)
+
+// onHedgeDue hedges the attempts of a query that are slower than the hedge time. Attempts become due
+// in the order in which they were sent; those that cannot be hedged yet are kept apart,
+// so that each look costs no more than their number.
+func (s *State) onHedgeDue(q *query) {
+	r := &q.running
+	s.hedgeLate(q)
+	for r.hedgeNext < len(r.order) {
+		id := r.order[r.hedgeNext]
+		a, ok := s.attempts[id]
+		if ok && a.sentAt+r.hedgeDelay > s.now {
+			s.arm(&q.timers[timerHedge], a.sentAt+r.hedgeDelay)
+			break
+		}
+		r.hedgeNext++
+		if ok && s.hedge(q, a) == hedgeLater {
+			r.late = append(r.late, id)
+		}
+	}
+	if len(r.late) > 0 {
+		s.armEarlier(&q.timers[timerHedge], s.now+max(r.hedgeDelay/hedgeRecheckShare, 2))
+	}
+}
+
+// hedgeLate looks again at the attempts that could not be hedged.
+func (s *State) hedgeLate(q *query) {
+	r := &q.running
+	r.late = slices.DeleteFunc(r.late, func(id tiller.AttemptID) bool {
+		a, ok := s.attempts[id]
+		return !ok || s.hedge(q, a) == hedgeDone
+	})
+}
+
+// hedge sends the open shards of an attempt to other upstreams, in another failure domain where there is one.
+func (s *State) hedge(q *query, a attempt) hedgeOutcome {
+	u := q.unit
+	shards := q.unhedged(a)
+	if len(shards) == 0 || a.kind == kindHedge {
+		return hedgeDone
+	}
+	if u.queue.Len() > 0 || !u.hedges.Allows(1) || !s.maySend(u) {
+		return hedgeLater
+	}
+	if q.running.probing {
+		return s.hedgeCanary(q, a, shards)
+	}
+	s.sendHedges(q, a, shards)
+	if len(q.unhedged(a)) == 0 {
+		return hedgeDone
+	}
+	return hedgeLater
+}
+
+// hedgeCanary sends a second canary to another upstream: with the same shards where that has
+// a replica of them, else with others.
+func (s *State) hedgeCanary(q *query, a attempt, shards []int32) hedgeOutcome {
+	if q.running.flying >= maxCanaries {
+		return hedgeLater
+	}
+	s.sendHedges(q, a, shards)
+	if q.running.flying < maxCanaries {
+		s.sendCanary(q, a.index)
+	}
+	if q.running.flying < maxCanaries {
+		return hedgeLater
+	}
+	return hedgeDone
+}
+
+func (s *State) sendHedges(q *query, a attempt, shards []int32) {
+	r := &q.running
+	c := s.newChoice(q)
+	c.avoid, c.domain = a.index, a.member.upstream.spec.Domain
+	groups, _ := s.grouper.Group(shards, len(r.plan.members), c.best)
+	for _, g := range groups {
+		if !q.unit.hedges.Allows(1) || r.probing && r.flying >= maxCanaries {
+			return
+		}
+		s.send(q, g.Upstream, g.Shards, kindHedge)
+	}
+}
+
+// unhedged returns the shards of an attempt that are neither answered nor hedged.
+func (q *query) unhedged(a attempt) []int32 {
+	var shards []int32
+	for _, sh := range a.shards {
+		if st := &q.running.shards[sh]; st.status == shardFlying && !st.hedged {
+			shards = append(shards, sh)
+		}
+	}
+	return shards
+}
--- /dev/null
+++ b/reducer/plan.go
@@ -0,0 +1,87 @@
+package reducer
+
+import (
+	"slices"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// plan is a snapshot with the unit's members in place of the names of upstreams. It is immutable and
+// shared by the queries pinned to it.
+type plan struct {
+	snapshot string
+	// single says that the query goes to one upstream, which searches its first shard.
+	single  bool
+	shards  []planShard
+	members []*member
+	// held lists the shards of each member.
+	held [][]int32
+	// names are the names of the shards of a request to each member, when single.
+	names []string
+	all   []int32
+}
+
+// planShard is a shard and the members that hold a replica of it, as indexes.
+type planShard struct {
+	name     string
+	replicas []int32
+}
+
+// newPlan compiles a snapshot for a unit.
+func (s *State) newPlan(u *unit, n tiller.Snapshot) *plan {
+	p := &plan{snapshot: n.Name}
+	indexes := make(map[string]int32)
+	for _, sh := range n.Shards {
+		p.add(s, u, sh, indexes)
+	}
+	return p
+}
+
+func (p *plan) add(s *State, u *unit, sh tiller.Shard, indexes map[string]int32) {
+	number := int32(len(p.shards))
+	ps := planShard{name: sh.Name}
+	for _, name := range sh.Upstreams {
+		i, ok := indexes[name]
+		if !ok {
+			i = int32(len(p.members))
+			indexes[name] = i
+			p.members = append(p.members, s.member(u, name))
+			p.held = append(p.held, nil)
+			p.names = append(p.names, sh.Name)
+		}
+		if !slices.Contains(ps.replicas, i) {
+			ps.replicas = append(ps.replicas, i)
+			p.held[i] = append(p.held[i], number)
+		}
+	}
+	p.shards = append(p.shards, ps)
+	p.all = append(p.all, number)
+}
+
+// asSingle returns the plan of a route that runs on one upstream: one shard that every member holds.
+func (p *plan) asSingle() *plan {
+	single := &plan{snapshot: p.snapshot, single: true, members: p.members, names: p.names}
+	if len(p.members) == 0 {
+		return single
+	}
+	sh := planShard{name: p.shards[0].name}
+	for i := range p.members {
+		sh.replicas = append(sh.replicas, int32(i))
+		single.held = append(single.held, []int32{0})
+	}
+	single.shards = []planShard{sh}
+	single.all = []int32{0}
+	return single
+}
+
+// namesOf returns the names of shards in a request to a member.
+func (p *plan) namesOf(member int32, shards []int32) []string {
+	names := make([]string, len(shards))
+	for i, sh := range shards {
+		names[i] = p.shards[sh].name
+		if p.single {
+			names[i] = p.names[member]
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/reducer/poison.go
@@ -0,0 +1,73 @@
+package reducer
+
+import (
+	"slices"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// lose counts the loss of an upstream against the digests whose connections were lost before, and against
+// those outstanding on it when their connection is the one that was lost.
+func (s *State) lose(u *upstream, outstanding bool) {
+	var digests []uint64
+	if outstanding {
+		u.lostAt = s.now
+		for _, m := range u.members {
+			for id := range m.attempts {
+				digests = append(digests, s.attempts[id].query.digest)
+			}
+		}
+	}
+	for _, l := range u.lost {
+		if s.now-l.at < lossMemoryMillis {
+			digests = append(digests, l.digest)
+		}
+	}
+	u.lost = u.lost[:0]
+	slices.Sort(digests)
+	s.blame(u, slices.Compact(digests))
+}
+
+func (s *State) blame(u *upstream, digests []uint64) {
+	for _, d := range s.quarantine.Lose(s.now, u.spec.Name, u.spec.Domain, digests) {
+		s.block(d)
+	}
+}
+
+// noteLostAttempt keeps the digest of an attempt whose connection was lost until there is a sign
+// that the upstream was lost too. A canary is blamed at once: another one
+// must not go out before the sign has come.
+func (s *State) noteLostAttempt(a attempt) {
+	u := a.member.upstream
+	if a.sentAt <= u.lostAt {
+		return
+	}
+	if a.query.running.probing {
+		s.blame(u, []uint64{a.query.digest})
+		return
+	}
+	u.lost = slices.DeleteFunc(u.lost, func(l lostDigest) bool { return s.now-l.at >= lossMemoryMillis })
+	if len(u.lost) < lossMemory {
+		u.lost = append(u.lost, lostDigest{digest: a.query.digest, at: s.now})
+	}
+}
+
+// block refuses the queries that have a digest which is blocked from now on.
+func (s *State) block(d uint64) {
+	s.count(CountBlocked, tiller.ReasonHarmful, 1)
+	g, ok := s.digests[d]
+	if !ok {
+		return
+	}
+	queries := slices.Clone(g.queries.items)
+	for _, q := range queries {
+		g.canary = nil
+		s.refuseHarmful(q)
+	}
+}
+
+func (s *State) refuseHarmful(q *query) {
+	// An earlier attempt under the same identifier may have run.
+	q.mayHaveRun = true
+	s.refuse(q, tiller.ReasonHarmful, "upstreams were lost while they ran this request")
+}
--- /dev/null
+++ b/reducer/state.go
@@ -0,0 +1,94 @@
+package reducer
+
+import (
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/quarantiner"
+	"github.com/carawaytiller/carawaytiller/queuer"
+	"github.com/carawaytiller/carawaytiller/recorder"
+	"github.com/carawaytiller/carawaytiller/router"
+	"github.com/carawaytiller/carawaytiller/spender"
+	"github.com/carawaytiller/carawaytiller/tracker"
+)
+
+// State is everything a daemon knows of its queries, attempts and upstreams. It belongs to the goroutine
+// that calls Step; its tables change in place, so that the cost of a step
+// does not depend on the number of entries.
+type State struct {
+	cfg Config
+	now tiller.Millis
+	// random is the state of the generator seeded with the random number of the event.
+	random uint64
+	// leaseVersion changes whenever a cached Holding may be out of date.
+	leaseVersion uint64
+
+	seat        int
+	incarnation int64
+	stopping    bool
+	stopped     bool
+
+	document  *tiller.Document
+	epoch     uint64
+	voters    map[tracker.UnitID]voterSet
+	services  map[string]*service
+	upstreams map[string]*upstream
+	units     map[tracker.UnitID]*unit
+	// held are the units that have or had work here as their owner.
+	held []*unit
+
+	queries  map[queryKey]*query
+	waiting  map[uint64]*query
+	attempts map[tiller.AttemptID]attempt
+	forwards map[ForwardID]*query
+	digests  map[uint64]*digest
+
+	tokens     *spender.Table
+	quarantine *quarantiner.Table
+	decisions  *recorder.Ring
+	timers     *queuer.Heap[*timer]
+	grouper    router.Grouper
+
+	// touched are the units that are looked at again at the end of the step.
+	touched []*unit
+	effects []Effect
+	counts  []Count
+	// wakeAt is the time of the Wake that the runner was given last; 0 when none is outstanding.
+	wakeAt tiller.Millis
+
+	lastAttempt tiller.AttemptID
+	lastForward ForwardID
+	lastHandle  uint64
+	lastTimer   uint64
+}
+
+// New returns the State of a daemon without a seat and without a document.
+func New(cfg Config) *State {
+	return &State{
+		cfg:        cfg,
+		seat:       unknownSeat,
+		voters:     make(map[tracker.UnitID]voterSet),
+		services:   make(map[string]*service),
+		upstreams:  make(map[string]*upstream),
+		units:      make(map[tracker.UnitID]*unit),
+		queries:    make(map[queryKey]*query),
+		waiting:    make(map[uint64]*query),
+		attempts:   make(map[tiller.AttemptID]attempt),
+		forwards:   make(map[ForwardID]*query),
+		digests:    make(map[uint64]*digest),
+		tokens:     spender.New(orDefault(cfg.TokenLimit, defaultTokenLimit)),
+		quarantine: quarantiner.New(orDefault(cfg.CleanLimit, defaultCleanLimit)),
+		decisions:  recorder.New(orDefault(cfg.DecisionLimit, defaultDecisionLimit)),
+		timers:     newTimers(),
+	}
+}
+
+// unknownSeat stands for the seat of a daemon that is not known.
+const unknownSeat = -1
+
+// draw returns the next random number of this step (splitmix64).
+func (s *State) draw() uint64 {
+	s.random += 0x9e3779b97f4a7c15
+	x := s.random
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/reducer/step.go
@@ -0,0 +1,103 @@
+package reducer
+
+import tiller "github.com/carawaytiller/carawaytiller"
+
+// Step handles one event and returns what is to be done because of it, in order.
+// The returned slice belongs to the caller.
+func Step(s *State, e Event) []Effect {
+	s.begin(e)
+	s.handle(e)
+	s.tickLeases()
+	s.fireTimers()
+	s.settle()
+	s.checkStopped()
+	s.wake()
+	return s.handOut()
+}
+
+func (s *State) begin(e Event) {
+	s.now = max(s.now, e.At())
+	s.leaseVersion++
+	if s.wakeAt <= s.now {
+		s.wakeAt = 0
+	}
+}
+
+func (s *State) handle(e Event) {
+	switch e := e.(type) {
+	case QueryArrived:
+		s.seed(e.Stamp)
+		s.onQuery(e)
+	case CallerGone:
+		s.seed(e.Stamp)
+		s.onCallerGone(e)
+	case TokenRequested:
+		s.seed(e.Stamp)
+		s.onTokenRequested(e)
+	case ResponseArrived:
+		s.seed(e.Stamp)
+		s.onResponse(e)
+	case AttemptFailed:
+		s.seed(e.Stamp)
+		s.onAttemptFailed(e)
+	case UpstreamRestarted:
+		s.seed(e.Stamp)
+		s.onRestarted(e)
+	case LoadReported:
+		s.seed(e.Stamp)
+		s.onLoad(e)
+	case DocumentApplied:
+		s.seed(e.Stamp)
+		s.onDocument(e)
+	default:
+		s.handlePeer(e)
+	}
+}
+
+func (s *State) handlePeer(e Event) {
+	switch e := e.(type) {
+	case PeerReply:
+		s.seed(e.Stamp)
+		s.onPeerReply(e)
+	case PeerFailed:
+		s.seed(e.Stamp)
+		s.onPeerFailed(e)
+	case SeatTaken:
+		s.seed(e.Stamp)
+		s.onSeat(e)
+	case LeaseMessage:
+		s.seed(e.Stamp)
+		s.onLeaseMessage(e)
+	case StopRequested:
+		s.seed(e.Stamp)
+		s.stopping = true
+	case TimeAdvanced:
+		s.seed(e.Stamp)
+	}
+}
+
+func (s *State) seed(stamp Stamp) { s.random = stamp.Random }
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+// handOut hands over the effects of the step, with the counters it changed.
+func (s *State) handOut() []Effect {
+	for _, c := range s.counts {
+		s.emit(c)
+	}
+	s.counts = s.counts[:0]
+	effects := s.effects
+	s.effects = nil
+	return effects
+}
+
+// count adds to a counter; one step reports each counter once.
+func (s *State) count(name string, label tiller.Reason, n int64) {
+	for i := range s.counts {
+		if s.counts[i].Name == name && s.counts[i].Label == label {
+			s.counts[i].N += n
+			return
+		}
+	}
+	s.counts = append(s.counts, Count{Name: name, Label: label, N: n})
+}
--- /dev/null
+++ b/reducer/unit.go
@@ -0,0 +1,293 @@
+package reducer
+
+import (
+	"math"
+	"slices"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/hedger"
+	"github.com/carawaytiller/carawaytiller/queuer"
+	"github.com/carawaytiller/carawaytiller/router"
+	"github.com/carawaytiller/carawaytiller/tracker"
+)
+
+// budgetBurst is the number of extra requests that a budget can hold. It covers the retries after
+// the loss of one upstream at a fan-out of several hundred.
+const budgetBurst = 100
+
+// unit is a unit of ownership: the queue, the limits and the measurements of its work at this daemon.
+type unit struct {
+	id tracker.UnitID
+	// service is that of the document in force; nil when the document does not have it.
+	service *service
+	// owner is the seat that is known to have answered for the unit; -1 when none is.
+	owner int
+	// seeking are the queries that wait until the owner is known.
+	seeking bag
+
+	holding      tracker.Holding
+	holdingSince uint64
+	touched      bool
+	sending      bool
+	timer        timer
+
+	// work is nil until the unit has had work here as its owner.
+	*work
+}
+
+// work is what an owner keeps for a unit.
+type work struct {
+	members map[string]*member
+	// list holds the members in the order in which they were added.
+	list    []*member
+	plans   map[string]*plan
+	singles map[string]*plan
+	queue   *queuer.Queue
+	// parked is the number of queries that wait for a canary.
+	parked int
+	// running is the number of queries with a pinned snapshot.
+	running int
+	// pending are the running queries with shards that wait for an upstream.
+	pending bag
+	freed   []*member
+	open    int
+	roomy   int
+	// stranded are the running queries whose waiting shards may have lost their last upstream.
+	stranded bag
+	measures map[string]*measure
+	pace     pace
+	hedges   hedger.Budget
+	retries  hedger.Budget
+	lastTag  int64
+	// released says that the lease was given back while the daemon stops.
+	released bool
+}
+
+// measure holds the response times of one route: that of attempts, and that of queries
+// from the pinning to the complete answer.
+type measure struct {
+	attempts *hedger.Latency
+	queries  *hedger.Latency
+}
+
+// measure returns the measurements of a route, which it begins when there are none.
+func (w *work) measure(route string) *measure {
+	m, ok := w.measures[route]
+	if !ok {
+		m = &measure{attempts: hedger.NewLatency(), queries: hedger.NewLatency()}
+		w.measures[route] = m
+	}
+	return m
+}
+
+// unit returns the unit with the given name, which it adds when it is new.
+func (s *State) unit(id tracker.UnitID, sv *service) *unit {
+	u, ok := s.units[id]
+	if !ok {
+		u = &unit{id: id, service: sv, owner: unknownSeat, seeking: bag{kind: bagSeeking}}
+		u.timer = timer{kind: timerUnit, unit: u}
+		s.units[id] = u
+	}
+	return u
+}
+
+// open prepares a unit for work as its owner.
+func (s *State) open(u *unit) {
+	if u.work != nil {
+		return
+	}
+	spec := u.service.spec
+	u.work = &work{
+		members:  make(map[string]*member),
+		pending:  bag{kind: bagPending},
+		stranded: bag{kind: bagStranded},
+		queue:    queuer.New(0),
+		measures: make(map[string]*measure),
+		hedges:   hedger.NewBudget(spec.HedgePercent, budgetBurst),
+		retries:  hedger.NewBudget(spec.RetryPercent, budgetBurst),
+	}
+	s.held = append(s.held, u)
+	s.adopt(u)
+}
+
+// adopt brings the members and settings of a unit in line with the document in force.
+func (s *State) adopt(u *unit) {
+	u.plans, u.singles = make(map[string]*plan), make(map[string]*plan)
+	wanted := make(map[string]struct{})
+	if u.service != nil {
+		u.hedges = u.hedges.WithPercent(u.service.spec.HedgePercent)
+		u.retries = u.retries.WithPercent(u.service.spec.RetryPercent)
+		for _, spec := range u.service.upstreams {
+			wanted[spec.Name] = struct{}{}
+			s.setQuota(s.member(u, spec.Name), spec)
+		}
+	}
+	s.limitQueue(u)
+	for _, m := range slices.Clone(u.list) {
+		_, ok := wanted[m.upstream.spec.Name]
+		m.gone = !ok
+		s.refresh(m)
+		if !m.isOpen() {
+			s.abandon(m)
+		}
+		if !ok && len(m.attempts) == 0 {
+			s.forget(m)
+		}
+	}
+}
+
+// forget removes a member that the document no longer has. Queries pinned to a plan with it keep it.
+func (s *State) forget(m *member) {
+	delete(m.unit.members, m.upstream.spec.Name)
+	m.unit.list = slices.DeleteFunc(m.unit.list, func(other *member) bool { return other == m })
+	s.disarm(&m.resumeTimer)
+	s.disarm(&m.quotaTimer)
+	up := m.upstream
+	up.members = slices.DeleteFunc(up.members, func(other *member) bool { return other == m })
+	if len(up.members) == 0 {
+		delete(s.upstreams, up.spec.Name)
+	}
+}
+
+// limitQueue divides the service's queue among its units; parked queries take places in it.
+func (s *State) limitQueue(u *unit) {
+	limit := 0
+	if u.service != nil {
+		limit = orDefault(u.service.spec.QueueLimit, defaultQueueLimit)
+		limit = (limit + u.service.owners - 1) / u.service.owners
+	}
+	u.queue.SetLimit(max(limit-u.parked, 0))
+}
+
+// holds returns what this daemon may do with a unit.
+func (s *State) holds(u *unit) tracker.Holding {
+	if s.cfg.Holding == nil {
+		return tracker.Holding{Owned: true, ValidUntil: noLeaseEnd, Owner: s.seat}
+	}
+	if u.holdingSince != s.leaseVersion {
+		u.holding = s.cfg.Holding(s.now, u.id)
+		u.holdingSince = s.leaseVersion
+	}
+	return u.holding
+}
+
+// owns says whether this daemon takes queries for a unit.
+func (s *State) owns(u *unit) bool {
+	h := s.holds(u)
+	return h.Owned && s.now < h.ValidUntil && u.service != nil
+}
+
+// maySend says whether this daemon may send to the upstreams of a unit.
+func (s *State) maySend(u *unit) bool {
+	h := s.holds(u)
+	return h.Owned && s.now >= h.StartAt && s.now < h.ValidUntil
+}
+
+// touch has a unit looked at again at the end of the step.
+func (s *State) touch(u *unit) {
+	if !u.touched {
+		u.touched = true
+		s.touched = append(s.touched, u)
+	}
+}
+
+// settle gives freed upstreams to waiting shards, and waiting queries to free upstreams.
+func (s *State) settle() {
+	for i := 0; i < len(s.touched); i++ {
+		u := s.touched[i]
+		u.touched = false
+		if u.work != nil {
+			s.settleUnit(u)
+		}
+	}
+	s.touched = s.touched[:0]
+}
+
+func (s *State) settleUnit(u *unit) {
+	if !s.owns(u) {
+		s.handOver(u)
+	}
+	may := s.maySend(u)
+	if may && !u.sending {
+		s.freeAll(u)
+	}
+	s.replaceStranded(u)
+	u.sending = may
+	s.watchLease(u)
+	if !may {
+		s.clearFreed(u)
+		return
+	}
+	for i := 0; i < len(u.freed); i++ {
+		u.freed[i].freed = false
+		s.fill(u.freed[i])
+	}
+	u.freed = u.freed[:0]
+	s.dispatch(u)
+}
+
+func (s *State) freeAll(u *unit) {
+	for _, m := range u.list {
+		if len(m.waiting) > 0 {
+			s.free(m)
+		}
+	}
+}
+
+func (s *State) clearFreed(u *unit) {
+	for _, m := range u.freed {
+		m.freed = false
+	}
+	u.freed = u.freed[:0]
+}
+
+// watchLease has the unit looked at when its lease begins or ends, while something waits.
+func (s *State) watchLease(u *unit) {
+	h := s.holds(u)
+	switch {
+	case u.queue.Len() == 0 && u.pending.len() == 0:
+		s.disarm(&u.timer)
+	case h.Owned && s.now < h.StartAt:
+		s.arm(&u.timer, h.StartAt)
+	case h.Owned && s.now < h.ValidUntil && h.ValidUntil < noLeaseEnd:
+		s.arm(&u.timer, h.ValidUntil)
+	}
+}
+
+// pace measures how fast the queue is served. It is replaced as a whole.
+type pace struct {
+	// millis and cost are sums over the latest dispatches, with falling weight.
+	millis float64
+	cost   float64
+	last   tiller.Millis
+	busy   bool
+}
+
+// paceKept is the weight of the past at each dispatch: about the last 50 count.
+const paceKept = 0.98
+
+// withDispatch returns p after a query of the given cost left the queue.
+// Only the time during which something waited counts.
+func (p pace) withDispatch(now tiller.Millis, cost int, waiting bool) pace {
+	if p.busy {
+		p.millis = p.millis*paceKept + float64(now-p.last)
+		p.cost = p.cost*paceKept + float64(cost)
+	}
+	p.last = now
+	p.busy = waiting
+	return p
+}
+
+// wait returns the time after which the given cost has been served; 0 when nothing is known.
+func (p pace) wait(cost int) tiller.Millis {
+	if p.cost == 0 {
+		return 0
+	}
+	return tiller.Millis(math.Ceil(p.millis / p.cost * float64(cost)))
+}
+
+// unitOf returns the unit of a service that takes a request.
+func (s *State) unitOf(sv *service, id tiller.RequestID) *unit {
+	index := router.UnitOf(id, sv.owners)
+	return s.unit(tracker.UnitID{Service: sv.spec.Name, Index: index}, sv)
+}
--- /dev/null
+++ b/reducer/upstream.go
@@ -0,0 +1,122 @@
+package reducer
+
+import tiller "github.com/carawaytiller/carawaytiller"
+
+const (
+	// drainHoldMillis is the time after an upstream's last sign of draining during which
+	// a load report that says otherwise is taken to be stale.
+	drainHoldMillis = 30 * tiller.Second
+	// lossMemoryMillis is the time during which a lost connection is matched with later signs of a restart.
+	lossMemoryMillis = 5 * tiller.Second
+	// lossMemory bounds the number of digests kept for that.
+	lossMemory = 256
+)
+
+// upstream is what is known of one upstream. Its document entry is replaced as a whole.
+type upstream struct {
+	spec tiller.Upstream
+	// listed says that the document in force has the upstream.
+	listed bool
+	// out says that its failure domain is out.
+	out         bool
+	draining    bool
+	drainingAt  tiller.Millis
+	incarnation int64
+	// lostAt is the time of the last loss that was attributed to digests; -1 when there was none.
+	lostAt tiller.Millis
+	// lost are the digests of attempts that ended with a lost connection and were not attributed yet.
+	lost    []lostDigest
+	members []*member
+}
+
+// lostDigest is the digest of a request whose connection was lost.
+type lostDigest struct {
+	digest uint64
+	at     tiller.Millis
+}
+
+// isOpen says whether the upstream may get new attempts.
+func (u *upstream) isOpen() bool {
+	return u.listed && !u.out && !u.spec.Leaving && !u.draining
+}
+
+// onRestarted takes a refused or reset connection as a sign that the upstream is cold.
+func (s *State) onRestarted(e UpstreamRestarted) {
+	u, ok := s.upstreams[e.Upstream]
+	if !ok {
+		return
+	}
+	s.restart(u, e.Lost)
+}
+
+// restart returns the limits of an upstream to the cold allowance.
+func (s *State) restart(u *upstream, lost bool) {
+	s.count(CountRestart, "", 1)
+	u.draining = false
+	if lost || len(u.lost) > 0 {
+		s.lose(u, lost)
+	}
+	for _, m := range u.members {
+		m.limit = m.limit.WithRestart()
+		s.refresh(m)
+	}
+}
+
+// noteResponse takes the signs of a restart from a response.
+func (s *State) noteResponse(u *upstream, r tiller.SearchResponse) {
+	restarted := u.incarnation != 0 && r.Incarnation > u.incarnation
+	u.incarnation = max(u.incarnation, r.Incarnation)
+	if restarted {
+		s.restart(u, false)
+		return
+	}
+	if !r.Cold {
+		return
+	}
+	if len(u.lost) > 0 {
+		s.lose(u, false)
+	}
+	for _, m := range u.members {
+		m.limit = m.limit.WithRestart()
+		s.refresh(m)
+	}
+}
+
+// onLoad takes a load report, which can only lower what an upstream gets.
+func (s *State) onLoad(e LoadReported) {
+	u, ok := s.upstreams[e.Upstream]
+	if !ok {
+		return
+	}
+	switch {
+	case e.Draining:
+		s.drain(u)
+	case u.draining && s.now-u.drainingAt >= drainHoldMillis:
+		u.draining = false
+		s.reopen(u)
+	}
+	for _, m := range u.members {
+		m.limit = m.limit.WithExcess(e.InFlight - u.spec.Slots)
+		s.refresh(m)
+	}
+}
+
+// drain stops new work to an upstream that says that it is draining.
+func (s *State) drain(u *upstream) {
+	u.drainingAt = s.now
+	if u.draining {
+		return
+	}
+	u.draining = true
+	s.reopen(u)
+}
+
+// reopen looks again at everything that depends on whether the upstream may get new attempts.
+func (s *State) reopen(u *upstream) {
+	for _, m := range u.members {
+		s.refresh(m)
+		if !m.isOpen() {
+			s.abandon(m)
+		}
+	}
+}
--- a/router/choose.go
+++ b/router/choose.go
@@ -4,10 +4,8 @@
 type Candidate struct {
 	// Index identifies the upstream among those of a snapshot.
 	Index int32
-	// Domain is the upstream's failure domain.
-	Domain string
-	Cold   bool
-	// Failed says that the upstream failed the same shards before.
+	Cold  bool
+	// Failed says that the upstream failed the same shards before, or shares a failure with one that did.
 	Failed   bool
 	InFlight int
 	Limit    int
