Match replies with waiting callers by reference

The reducer's events and effects now carry a reference of the waiting caller and a CancelForward effect, so the runner need not guess which copy of a query a reply belongs to, nor which forwards end with their caller.

--- a/runner/effect.go
+++ b/runner/effect.go
@@ -19,6 +19,8 @@
 		r.issueToken(e)
 	case reducer.Forward:
 		r.startForward(e)
+	case reducer.CancelForward:
+		r.cancelForward(e)
 	case reducer.SendLease:
 		r.cfg.SendLease(e)
 	case reducer.Wake:
--- a/runner/example_test.go
+++ b/runner/example_test.go
@@ -17,7 +17,7 @@
 		}
 		refusal := &tiller.Refusal{ID: q.Query.ID, Verdict: tiller.NotRun, Reason: tiller.ReasonNoOwner}
 		result := tiller.Result{Refusal: refusal}
-		return []reducer.Effect{reducer.Reply{Caller: q.Query.Caller, ID: q.Query.ID, To: q.From, Result: result}}
+		return []reducer.Effect{reducer.Reply{Caller: q.Query.Caller, ID: q.Query.ID, To: q.From, Ref: q.Ref, Result: result}}
 	}
 	clock := tiller.SystemClock()
 	r := runner.New(runner.Config{Clock: clock, Step: step})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -38,14 +38,13 @@
 type owned struct {
 	timer *time.Timer
 	// pending holds events that arose while effects were carried out.
-	pending  []func(reducer.Stamp) reducer.Event
-	waiting  map[queryKey][]*waiter
+	pending []func(reducer.Stamp) reducer.Event
+	// lastRef is the last reference given to a waiting caller.
+	lastRef  uint64
+	waiting  map[uint64]*waiter
 	tokens   map[uint64]chan reducer.IssueToken
-	tokenRef uint64
 	attempts map[tiller.AttemptID]context.CancelFunc
-	forwards map[reducer.ForwardID]forwarding
-	// arriving is set while the QueryArrived of that waiter is handled.
-	arriving *waiter
+	forwards map[reducer.ForwardID]context.CancelFunc
 	// isStopped says that the reducer emitted Stopped.
 	isStopped bool
 }
@@ -66,10 +65,10 @@
 	}
 	r.timer = time.NewTimer(time.Hour)
 	r.timer.Stop()
-	r.waiting = make(map[queryKey][]*waiter)
+	r.waiting = make(map[uint64]*waiter)
 	r.tokens = make(map[uint64]chan reducer.IssueToken)
 	r.attempts = make(map[tiller.AttemptID]context.CancelFunc)
-	r.forwards = make(map[reducer.ForwardID]forwarding)
+	r.forwards = make(map[reducer.ForwardID]context.CancelFunc)
 	go r.own()
 	return r
 }
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -67,7 +67,7 @@
 }
 
 func replyTo(e reducer.QueryArrived, result tiller.Result) reducer.Reply {
-	return reducer.Reply{Caller: e.Query.Caller, ID: e.Query.ID, To: e.From, Result: result}
+	return reducer.Reply{Caller: e.Query.Caller, ID: e.Query.ID, To: e.From, Ref: e.Ref, Result: result}
 }
 
 func answer(snapshot string) tiller.Result {
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -47,12 +47,8 @@
 func (r *Runner) release() {
 	r.timer.Stop()
 	r.abandon()
-	for _, waiters := range r.waiting {
-		for _, w := range waiters {
-			refusal := r.refuse(tiller.MayHaveRun, tiller.ReasonStopping, 0)
-			refusal.ID = w.key.id
-			w.result <- tiller.Result{Refusal: refusal}
-		}
+	for _, w := range r.waiting {
+		w.result <- tiller.Result{Refusal: r.refuse(w.query.ID, tiller.MayHaveRun, tiller.ReasonStopping, 0)}
 	}
 	r.waiting = nil
 }
--- a/runner/submit.go
+++ b/runner/submit.go
@@ -16,18 +16,12 @@
 	retryAfterMillis tiller.Millis = 100
 )
 
-// queryKey identifies a query within the daemon. Several callers may wait for copies of one query.
-type queryKey struct {
-	caller string
-	id     tiller.RequestID
-	from   int
-}
-
-// waiter waits for the result of one query. Only the owner goroutine reads and writes isAccepted.
+// waiter waits for the result of one query. Only the owner goroutine uses its ref.
 type waiter struct {
-	key        queryKey
-	result     chan tiller.Result
-	isAccepted bool
+	query tiller.Query
+	// ref is the reference of the query's arrival; 0 before.
+	ref    uint64
+	result chan tiller.Result
 }
 
 // Submit hands a caller's query to the reducer and waits for its result. When ctx ends first,
@@ -38,11 +32,9 @@
 
 // SubmitFrom is Submit for a query that the seat from has forwarded after redirects redirects.
 func (r *Runner) SubmitFrom(ctx context.Context, q tiller.Query, from, redirects int) tiller.Result {
-	key := queryKey{caller: q.Caller, id: q.ID, from: from}
-	w := &waiter{key: key, result: make(chan tiller.Result, 1)}
-	arrive := func() { r.arrive(w, q, from, redirects) }
-	if refusal := r.enqueue(arrive); refusal != nil {
-		refusal.ID = q.ID
+	w := &waiter{query: q, result: make(chan tiller.Result, 1)}
+	arrive := func() { r.arrive(w, from, redirects) }
+	if refusal := r.enqueue(q.ID, arrive); refusal != nil {
 		return tiller.Result{Refusal: refusal}
 	}
 	left := q.Deadline - r.cfg.Clock.Now() + replyGraceMillis
@@ -62,90 +54,59 @@
 }
 
 // enqueue queues a task of a caller. It returns a refusal when there is no room.
-func (r *Runner) enqueue(task func()) *tiller.Refusal {
+func (r *Runner) enqueue(id tiller.RequestID, task func()) *tiller.Refusal {
 	select {
 	case <-r.ended:
-		return r.refuse(tiller.NotRun, tiller.ReasonStopping, 0)
+		return r.refuse(id, tiller.NotRun, tiller.ReasonStopping, 0)
 	default:
 	}
 	select {
 	case r.arrivals <- task:
 		return nil
 	default:
-		return r.refuse(tiller.NotRun, tiller.ReasonQueueFull, retryAfterMillis)
+		return r.refuse(id, tiller.NotRun, tiller.ReasonQueueFull, retryAfterMillis)
 	}
 }
 
 // refuse returns a refusal of the runner itself and counts it.
-func (r *Runner) refuse(v tiller.Verdict, reason tiller.Reason, after tiller.Millis) *tiller.Refusal {
+func (r *Runner) refuse(id tiller.RequestID, v tiller.Verdict, reason tiller.Reason, after tiller.Millis) *tiller.Refusal {
 	r.cfg.Count("refusal", reason, 1)
-	return &tiller.Refusal{Verdict: v, Reason: reason, RetryAfter: after, Owner: -1}
+	return &tiller.Refusal{ID: id, Verdict: v, Reason: reason, RetryAfter: after, Owner: -1}
 }
 
 // arrive hands a query to the reducer.
-func (r *Runner) arrive(w *waiter, q tiller.Query, from, redirects int) {
-	w.isAccepted = true
-	r.waiting[w.key] = append(r.waiting[w.key], w)
-	r.arriving = w
+func (r *Runner) arrive(w *waiter, from, redirects int) {
+	r.lastRef++
+	w.ref = r.lastRef
+	r.waiting[w.ref] = w
 	r.handle(func(s reducer.Stamp) reducer.Event {
-		return reducer.QueryArrived{Stamp: s, Query: q, From: from, Redirects: redirects}
+		return reducer.QueryArrived{Stamp: s, Query: w.query, From: from, Redirects: redirects, Ref: w.ref}
 	})
-	r.arriving = nil
 }
 
-// reply delivers a result. A reply that is emitted while a copy of the query arrives refuses that copy;
-// any other reply belongs to the copy that has waited longest.
+// reply delivers a result to the caller that waits for it.
 func (r *Runner) reply(e reducer.Reply) {
-	key := queryKey{caller: e.Caller, id: e.ID, from: e.To}
-	w := r.arriving
-	if w == nil || w.key != key || !r.forget(w) {
-		w = r.oldest(key)
-	}
-	if w == nil {
+	w, ok := r.waiting[e.Ref]
+	if !ok {
 		r.cfg.Count("late_reply", reasonOf(e.Result), 1)
 		return
 	}
-	r.forget(w)
+	delete(r.waiting, e.Ref)
 	w.result <- e.Result
 }
 
-func (r *Runner) oldest(key queryKey) *waiter {
-	if waiters := r.waiting[key]; len(waiters) > 0 {
-		return waiters[0]
-	}
-	return nil
-}
-
-// forget removes w from those that wait and reports whether it was there.
-func (r *Runner) forget(w *waiter) bool {
-	waiters := r.waiting[w.key]
-	for i, other := range waiters {
-		if other != w {
-			continue
-		}
-		if len(waiters) == 1 {
-			delete(r.waiting, w.key)
-			return true
-		}
-		rest := append([]*waiter(nil), waiters[:i]...)
-		r.waiting[w.key] = append(rest, waiters[i+1:]...)
-		return true
-	}
-	return false
-}
-
 // abandonQuery tells the reducer that nobody waits for a query any more, and ends the waiter.
 func (r *Runner) abandonQuery(w *waiter, reason tiller.Reason) {
 	task := func() {
-		if !w.isAccepted || !r.isWaiting(w) {
+		if r.waiting[w.ref] != w {
 			return
 		}
 		r.handle(func(s reducer.Stamp) reducer.Event {
-			return reducer.CallerGone{Stamp: s, Caller: w.key.caller, ID: w.key.id}
+			return reducer.CallerGone{Stamp: s, Caller: w.query.Caller, ID: w.query.ID, Ref: w.ref}
 		})
-		r.cancelForwards(w.key.caller, w.key.id)
-		if r.forget(w) {
-			w.result <- tiller.Result{Refusal: r.refuse(tiller.MayHaveRun, reason, 0)}
+		if r.waiting[w.ref] == w {
+			delete(r.waiting, w.ref)
+			w.result <- tiller.Result{Refusal: r.refuse(w.query.ID, tiller.MayHaveRun, reason, 0)}
 		}
 	}
 	// The arrivals are handled in order, so this runs after the query's own arrival.
@@ -155,15 +116,6 @@
 	}
 }
 
-func (r *Runner) isWaiting(w *waiter) bool {
-	for _, other := range r.waiting[w.key] {
-		if other == w {
-			return true
-		}
-	}
-	return false
-}
-
 // lastResult waits for the result of an abandoned query. When the runner ended before it handled
 // the query, the query was not run.
 func (r *Runner) lastResult(w *waiter) tiller.Result {
@@ -177,9 +129,7 @@
 		return result
 	default:
 	}
-	refusal := r.refuse(tiller.NotRun, tiller.ReasonStopping, 0)
-	refusal.ID = w.key.id
-	return tiller.Result{Refusal: refusal}
+	return tiller.Result{Refusal: r.refuse(w.query.ID, tiller.NotRun, tiller.ReasonStopping, 0)}
 }
 
 // reasonOf returns the reason of a refusal, and an empty one of an answer.
--- a/runner/token.go
+++ b/runner/token.go
@@ -12,21 +12,21 @@
 func (r *Runner) Token(ctx context.Context) reducer.IssueToken {
 	issued := make(chan reducer.IssueToken, 1)
 	ask := func() {
-		r.tokenRef++
-		ref := r.tokenRef
+		r.lastRef++
+		ref := r.lastRef
 		r.tokens[ref] = issued
 		r.handle(func(s reducer.Stamp) reducer.Event { return reducer.TokenRequested{Stamp: s, Ref: ref} })
 	}
-	if refusal := r.enqueue(ask); refusal != nil {
+	if refusal := r.enqueue("", ask); refusal != nil {
 		return reducer.IssueToken{Refusal: refusal}
 	}
 	select {
 	case e := <-issued:
 		return e
 	case <-ctx.Done():
-		return reducer.IssueToken{Refusal: r.refuse(tiller.NotRun, tiller.ReasonCancelled, 0)}
+		return reducer.IssueToken{Refusal: r.refuse("", tiller.NotRun, tiller.ReasonCancelled, 0)}
 	case <-r.ended:
-		return reducer.IssueToken{Refusal: r.refuse(tiller.NotRun, tiller.ReasonStopping, 0)}
+		return reducer.IssueToken{Refusal: r.refuse("", tiller.NotRun, tiller.ReasonStopping, 0)}
 	}
 }
 
