--- a/assembler/config.go
+++ b/assembler/config.go
@@ -17,27 +17,32 @@
 	// CallerAddress and OperatorAddress are the addresses to listen on; port 0 takes a free one.
 	CallerAddress   string
 	OperatorAddress string
-	Environment     string
 	// Seat and Incarnation are the seat that this process holds.
 	Seat        int
 	Incarnation int64
 	// DrainMillis is the part of a planned stop for which the daemon still takes new work, while
 	// /readyz fails and callers are asked to close their connections.
 	DrainMillis tiller.Millis
-	// Forward passes a query to a peer; nil when there are no peers.
-	Forward func(context.Context, reducer.Forward) (tiller.Result, error)
-	// SendLease sends a message to another seat without blocking; nil when there are no peers.
-	SendLease func(reducer.SendLease)
+	// Peers connects the daemon with others; nil makes it the owner of everything.
+	Peers *Peers
 	// GetDocument and PutDocument reach the stored document; nil when there is no store.
 	GetDocument func(ctx context.Context, env string) (*operator.StoredDocument, error)
 	PutDocument func(ctx context.Context, env string, change *operator.Change) (*operator.Accepted, error)
 }
 
+// Peers is how a daemon reaches the others. The functions are required.
+type Peers struct {
+	// Forward passes a query to a peer and waits for the result.
+	Forward func(context.Context, reducer.Forward) (tiller.Result, error)
+	// SendLease sends a message of the lease protocol without blocking.
+	SendLease func(reducer.SendLease)
+	// SpreadMillis is the time within which a document is in force everywhere; 0 means the bound
+	// of the target size.
+	SpreadMillis tiller.Millis
+}
+
 // withDefaults returns a copy of c whose optional fields are set.
 func (c Config) withDefaults() Config {
-	if c.SendLease == nil {
-		c.SendLease = func(reducer.SendLease) {}
-	}
 	if c.GetDocument == nil {
 		c.GetDocument = func(context.Context, string) (*operator.StoredDocument, error) {
 			return nil, errNoStore
--- /dev/null
+++ b/assembler/daemon.go
@@ -0,0 +1,190 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/dialer"
+	"github.com/carawaytiller/carawaytiller/reducer"
+	"github.com/carawaytiller/carawaytiller/runner"
+	"github.com/carawaytiller/carawaytiller/server"
+	"github.com/carawaytiller/carawaytiller/tracker"
+)
+
+// Daemon is one running daemon.
+type Daemon struct {
+	cfg     Config
+	metrics *server.Metrics
+	state   *reducer.State
+	runner  *runner.Runner
+	dialer  *dialer.Dialer
+
+	caller   endpoint
+	operator endpoint
+	tasks    sync.WaitGroup
+
+	// applying is held while a document is put in force; revision is that of the document in force.
+	applying sync.Mutex
+	revision int64
+	// appliedAt is the time at which the document in force was applied; 0 when there is none.
+	appliedAt  atomic.Int64
+	isStopping atomic.Bool
+}
+
+// endpoint is an HTTP server and its listener.
+type endpoint struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+// New returns a daemon that listens on its addresses. It takes no work before Apply.
+func New(cfg Config) (*Daemon, error) {
+	d := &Daemon{cfg: cfg.withDefaults(), metrics: server.NewMetrics()}
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	d.assemble()
+	if err := d.serve(); err != nil {
+		d.Close()
+		return nil, err
+	}
+	d.runner.Post(func(s reducer.Stamp) reducer.Event {
+		return reducer.SeatTaken{Stamp: s, Seat: cfg.Seat, Incarnation: cfg.Incarnation}
+	})
+	return d, nil
+}
+
+// listen opens both listeners, or none.
+func (d *Daemon) listen() error {
+	l, err := net.Listen("tcp", d.cfg.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	d.caller.listener = l
+	l, err = net.Listen("tcp", d.cfg.OperatorAddress)
+	if err != nil {
+		_ = d.caller.listener.Close()
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	d.operator.listener = l
+	return nil
+}
+
+// assemble joins reducer, runner and dialer.
+func (d *Daemon) assemble() {
+	cfg := runner.Config{Clock: d.cfg.Clock, Count: d.metrics.Count}
+	reducerConfig := reducer.Config{}
+	if peers := d.cfg.Peers; peers != nil {
+		cfg.Forward = peers.Forward
+		cfg.SendLease = peers.SendLease
+		l := &leases{spread: peers.SpreadMillis, running: func(id tracker.UnitID) int { return d.state.Running(id) }}
+		reducerConfig = l.config()
+	}
+	d.state = reducer.New(reducerConfig)
+	d.dialer = dialer.New(dialer.Config{
+		Clock:     d.cfg.Clock,
+		Restarted: func(upstream string, lost bool) { d.runner.Restarted(upstream, lost) },
+		Loaded:    func(upstream string, inFlight int, draining bool) { d.runner.Loaded(upstream, inFlight, draining) },
+		Count:     d.metrics.Count,
+	})
+	cfg.Step = func(e reducer.Event) []reducer.Effect { return reducer.Step(d.state, e) }
+	cfg.Send = d.dialer.Send
+	d.runner = runner.New(cfg)
+}
+
+// serve starts both HTTP servers.
+func (d *Daemon) serve() error {
+	callers, err := server.NewCaller(server.CallerConfig{
+		Clock:    d.cfg.Clock,
+		Metrics:  d.metrics,
+		Submit:   d.runner.Submit,
+		Token:    d.runner.Token,
+		Ready:    d.unready,
+		Stopping: d.isStopping.Load,
+	})
+	if err != nil {
+		return err
+	}
+	operators, err := server.NewOperator(server.OperatorConfig{
+		Clock:       d.cfg.Clock,
+		Metrics:     d.metrics,
+		Status:      d.status,
+		Explain:     d.explain,
+		GetDocument: d.cfg.GetDocument,
+		PutDocument: d.cfg.PutDocument,
+		Ready:       d.unready,
+		Stopping:    d.isStopping.Load,
+	})
+	if err != nil {
+		return err
+	}
+	d.start(&d.caller, callers)
+	d.start(&d.operator, operators)
+	return nil
+}
+
+func (d *Daemon) start(e *endpoint, handler http.Handler) {
+	e.server = server.NewHTTP(handler, d.cfg.Logger)
+	d.tasks.Go(func() {
+		if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
+			d.cfg.Logger.Error(err, "listener failed", "address", e.listener.Addr().String())
+		}
+	})
+}
+
+// unready returns why the daemon takes no new work; empty when it does.
+func (d *Daemon) unready() string {
+	switch {
+	case d.isStopping.Load():
+		return "stopping"
+	case d.appliedAt.Load() == 0:
+		return "no document"
+	}
+	return ""
+}
+
+// Apply puts a document in force and returns when the daemon goes by it. A document whose revision
+// is not greater than the one in force changes nothing.
+func (d *Daemon) Apply(doc *tiller.Document) error {
+	d.applying.Lock()
+	defer d.applying.Unlock()
+	if doc.Revision <= d.revision {
+		return nil
+	}
+	// The dialer comes first, so that an attempt for a new address never goes to the old one.
+	d.dialer.Apply(targets(doc))
+	if err := d.runner.Apply(doc); err != nil {
+		return err
+	}
+	d.revision = doc.Revision
+	d.appliedAt.Store(int64(d.cfg.Clock.Now()))
+	d.cfg.Logger.Info("document in force", "environment", doc.Environment, "revision", doc.Revision)
+	return nil
+}
+
+// Submit runs a query that the seat from has forwarded after redirects redirects.
+func (d *Daemon) Submit(ctx context.Context, q tiller.Query, from, redirects int) tiller.Result {
+	return d.runner.SubmitFrom(ctx, q, from, redirects)
+}
+
+// ReceiveLease hands over a message of the lease protocol from another seat.
+func (d *Daemon) ReceiveLease(from int, m reducer.LeasePayload) {
+	d.runner.Post(func(s reducer.Stamp) reducer.Event {
+		return reducer.LeaseMessage{Stamp: s, From: from, Message: m}
+	})
+}
+
+// CallerAddress returns the address that serves callers.
+func (d *Daemon) CallerAddress() string { return d.caller.listener.Addr().String() }
+
+// OperatorAddress returns the address that serves operators.
+func (d *Daemon) OperatorAddress() string { return d.operator.listener.Addr().String() }
+
+// Metrics returns the counters of the daemon.
+func (d *Daemon) Metrics() *server.Metrics { return d.metrics }
