--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -133,7 +133,7 @@
 	e.server = server.NewHTTP(handler, d.cfg.Logger)
 	d.tasks.Go(func() {
 		if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
-			d.cfg.Logger.Error(err, "listener failed", "address", e.listener.Addr().String())
+			d.cfg.Logger.Error(err, "listener failed", "Address", e.listener.Addr().String())
 		}
 	})
 }
@@ -164,7 +164,7 @@
 	}
 	d.revision = doc.Revision
 	d.appliedAt.Store(int64(d.cfg.Clock.Now()))
-	d.cfg.Logger.Info("document in force", "environment", doc.Environment, "revision", doc.Revision)
+	d.cfg.Logger.Info("document in force", "Environment", doc.Environment, "Revision", doc.Revision)
 	return nil
 }
 
--- a/assembler/stop.go
+++ b/assembler/stop.go
@@ -11,7 +11,7 @@
 // the rest is abandoned and the error says so.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.isStopping.Store(true)
-	d.cfg.Logger.Info("stop begins", "drainMillis", int64(d.cfg.DrainMillis))
+	d.cfg.Logger.Info("stop begins", "DrainMillis", int64(d.cfg.DrainMillis))
 	select {
 	case <-time.After(d.cfg.DrainMillis.Duration()):
 	case <-ctx.Done():
@@ -20,7 +20,7 @@
 	// The results are with the handlers now; Shutdown waits until they are written.
 	err = errors.Join(err, d.caller.server.Shutdown(ctx), d.operator.server.Shutdown(ctx))
 	d.Close()
-	d.cfg.Logger.Info("stopped", "clean", err == nil)
+	d.cfg.Logger.Info("stopped", "Clean", err == nil)
 	return err
 }
 
--- /dev/null
+++ b/cmd/tillerd/demo.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/api/caller"
+	"github.com/carawaytiller/carawaytiller/demonstrator"
+	"github.com/carawaytiller/carawaytiller/sampler"
+)
+
+const demoDescription = `Runs the sample deployment of Guild in this process on loopback: a fake store, fake upstreams and eight daemons. Asks for allergens, for recipes and for one printed label through different daemons, prints each answer as JSON and compares it with a direct search; a wrong or partial answer ends with exit code 1. Then it serves until it gets SIGTERM or SIGINT.`
+
+// demoStopMillis bounds the planned stop of the demonstration.
+const demoStopMillis = 10 * tiller.Second
+
+// demoCommand runs the demonstration.
+type demoCommand struct {
+	program *program
+	Once    bool `long:"once" description:"Stop after the answers"`
+}
+
+// Execute runs the demonstration.
+func (c *demoCommand) Execute([]string) error {
+	log, err := c.program.newLogger("info")
+	if err != nil {
+		return err
+	}
+	records := sampler.Records(sampler.Guild)
+	fleet, err := demonstrator.Start(demonstrator.Config{
+		Clock:    tiller.SystemClock(),
+		Logger:   log,
+		Document: sampler.Document(sampler.Guild, func(string) string { return "" }),
+		Search:   runSearch(records),
+	})
+	if err != nil {
+		return err
+	}
+	defer http.DefaultClient.CloseIdleConnections()
+	d := &demo{program: c.program, fleet: fleet, records: records}
+	if err := d.askAll(c.program.ctx); err != nil {
+		fleet.Close()
+		return err
+	}
+	if !c.Once {
+		d.printUsage()
+		<-c.program.ctx.Done()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), demoStopMillis.Duration())
+	defer cancel()
+	return fleet.Stop(ctx)
+}
+
+// demo asks the questions of the demonstration.
+type demo struct {
+	program *program
+	fleet   *demonstrator.Fleet
+	records []sampler.Record
+	// token is that of the label print.
+	token string
+}
+
+// printID identifies the label print.
+const printID = "label-print"
+
+// shown is how an answer is printed.
+type shown struct {
+	Question string
+	// Daemon is the seat of the daemon that was asked.
+	Daemon int
+	Answer *caller.Answer
+}
+
+// askAll asks every question, prints the answers and checks them.
+func (d *demo) askAll(ctx context.Context) error {
+	encoder := json.NewEncoder(d.program.stdout)
+	for i, q := range questions {
+		answer, err := d.ask(ctx, fmt.Sprintf("demo-%d", i+1), q)
+		if err != nil {
+			return fmt.Errorf("%s: %w", q.Name, err)
+		}
+		if err := encoder.Encode(shown{Question: q.Name, Daemon: q.Daemon, Answer: answer}); err != nil {
+			return err
+		}
+		if err := q.compare(d.records, d.fleet.Document, answer); err != nil {
+			return fmt.Errorf("%s: %w", q.Name, err)
+		}
+	}
+	return d.checkPrints()
+}
+
+// ask asks one question.
+func (d *demo) ask(ctx context.Context, id string, q question) (*caller.Answer, error) {
+	asked, err := client(d.fleet.Daemons[q.Daemon].CallerAddress())
+	if err != nil {
+		return nil, err
+	}
+	var answer *caller.Answer
+	err = untilRun(ctx, func(ctx context.Context) error {
+		query := q.query(id, "")
+		if q.Route == "print" {
+			if err := d.ensureToken(ctx, q.Issuer); err != nil {
+				return err
+			}
+			query = q.query(printID, d.token)
+		}
+		answer, err = asked.Query(ctx, query)
+		if err != nil {
+			// A token serves one attempt; a refused one is answered with the same refusal.
+			d.token = ""
+		}
+		return err
+	})
+	return answer, err
+}
+
+// ensureToken gets a single-use token from the daemon of a seat, unless there is one.
+func (d *demo) ensureToken(ctx context.Context, issuer int) error {
+	if d.token != "" {
+		return nil
+	}
+	c, err := client(d.fleet.Daemons[issuer].CallerAddress())
+	if err != nil {
+		return err
+	}
+	token, err := c.IssueToken(ctx)
+	if err != nil {
+		return err
+	}
+	d.token = token.Token
+	return nil
+}
+
+// checkPrints returns an error unless the label was printed once, although it was asked for twice.
+func (d *demo) checkPrints() error {
+	runs := 0
+	for _, u := range d.fleet.Upstreams {
+		runs += u.Runs("print")[printID]
+	}
+	if runs != 1 {
+		return errors.New("the label was printed " + fmt.Sprint(runs) + " times")
+	}
+	return nil
+}
+
+// printUsage prints how to query the fleet.
+func (d *demo) printUsage() {
+	const format = `
+The daemons serve until they get SIGTERM or SIGINT. Ask any of them, for example:
+curl -s http://%s/v1/query -H 'Content-Type: application/json' -d '{"ID":"q1","Caller":"me","Service":"recipe-desk-01","Route":"search","Body":{"Terms":["sesame"]},"DeadlineMillis":1000}'
+curl -s -X POST http://%s/v1/token
+curl -s http://%s/v1/status
+curl -s http://%s/v1/explain/q1
+curl -s http://%s/metrics
+
+Callers' and operators' addresses by seat:
+`
+	first := d.fleet.Daemons[0]
+	second := d.fleet.Daemons[1].CallerAddress()
+	fmt.Fprintf(d.program.stdout, format, first.CallerAddress(), second, first.OperatorAddress(), first.OperatorAddress(), first.OperatorAddress())
+	for seat, daemon := range d.fleet.Daemons {
+		fmt.Fprintf(d.program.stdout, "%d %s %s\n", seat, daemon.CallerAddress(), daemon.OperatorAddress())
+	}
+}
--- a/server/http.go
+++ b/server/http.go
@@ -40,6 +40,6 @@
 }
 
 func (w logWriter) Write(line []byte) (int, error) {
-	w.logger.Info("http server", "line", strings.TrimSpace(string(line)))
+	w.logger.Info("http server", "Line", strings.TrimSpace(string(line)))
 	return len(line), nil
 }
