Test outstanding requests of silent, lost and crashed connections

Mutations of the fakes showed that responses on a silent connection, requests that leave the queue, lost replies over HTTP/2 and crashes without a connection were not observed by any test. Each now has one, and an upstream counts the requests that wait.

--- a/faker/store_test.go
+++ b/faker/store_test.go
@@ -211,3 +211,27 @@
 	require.Equal(t, "c", value)
 	require.GreaterOrEqual(t, time.Since(begin), 50*time.Millisecond)
 }
+
+// TestStoreLosesConnection guards against a lost reply that ends one HTTP/2 stream only:
+// the clients that share the connection have to see it closed.
+func TestStoreLosesConnection(t *testing.T) {
+	ctx := context.Background()
+	s, err := faker.NewStore(faker.StoreSettings{}, tiller.SystemClock())
+	require.NoError(t, err)
+	c, err := platform.NewClient(start(t, s), platform.WithClient(http2(t)))
+	require.NoError(t, err)
+	watched := make(chan error)
+	go func() {
+		_, err := c.WatchKey(ctx, platform.WatchKeyParams{Key: "other", WaitMillis: 60_000})
+		watched <- err
+	}()
+	eventually(t, func() bool { return s.Counts().Watching == 1 })
+	s.SetFaults(faker.StoreFaults{LoseReplies: 1})
+	_, err = c.PutKey(ctx, &platform.Write{Value: "a"}, platform.PutKeyParams{Key: key})
+	require.Error(t, err)
+	err = <-watched
+	require.Error(t, err)
+	require.Empty(t, reasonOf(err))
+	_, version, _ := s.Get(key)
+	require.EqualValues(t, 1, version)
+}
--- a/faker/upstream.go
+++ b/faker/upstream.go
@@ -199,6 +199,7 @@
 	counts.Cold = u.life.cold.isCold(u.clock.Now())
 	if !u.down {
 		counts.InFlight = u.life.slots.running
+		counts.Waiting = len(u.life.slots.queue)
 	}
 	return counts
 }
--- a/faker/upstream_test.go
+++ b/faker/upstream_test.go
@@ -110,7 +110,7 @@
 		t.Run(protocol, func(t *testing.T) {
 			s := settings()
 			s.Slots = 1
-			s.QueueLimit = 1
+			s.QueueLimit = 2
 			s.ServiceMillis = 60_000
 			u, address := startUpstream(t, s, tiller.SystemClock())
 			c := searcher(t, address, h(t))
@@ -122,6 +122,14 @@
 				gone <- err
 			}()
 			eventually(t, func() bool { return u.Counts().InFlight == 1 })
+			queued := make(chan error)
+			queuedCtx, leave := context.WithCancel(context.Background())
+			defer leave()
+			go func() {
+				_, _, err := searchNow(queuedCtx, c, request("queued"))
+				queued <- err
+			}()
+			eventually(t, func() bool { return u.Counts().Waiting == 1 })
 
 			r := request("waits")
 			r.DeadlineMillis = 30
@@ -130,8 +138,13 @@
 			require.Equal(t, upstream.SearchErrorReasonTimeout, refused.Reason)
 			require.False(t, refused.Ran)
 
+			require.Equal(t, map[string]int{"gone": 1}, u.Runs("search"), "the end of one wait starts no other request")
+
 			cancel()
 			require.ErrorIs(t, <-gone, context.Canceled)
+			eventually(t, func() bool { return u.Runs("search")["queued"] == 1 })
+			leave()
+			require.ErrorIs(t, <-queued, context.Canceled)
 			eventually(t, func() bool { return u.Counts().InFlight == 0 })
 
 			r.ID = "runs"
@@ -139,8 +152,9 @@
 			require.NoError(t, err)
 			require.Equal(t, upstream.SearchErrorReasonTimeout, refused.Reason)
 			require.True(t, refused.Ran)
-			require.Equal(t, map[string]int{"gone": 1, "runs": 1}, u.Runs("search"))
-			require.Equal(t, 1, u.Counts().Cancelled)
+			require.Equal(t, map[string]int{"gone": 1, "queued": 1, "runs": 1}, u.Runs("search"))
+			require.Equal(t, 2, u.Counts().Cancelled)
+			require.Equal(t, 1, u.Counts().GreatestInFlight)
 		})
 	}
 }
@@ -275,31 +289,40 @@
 	require.InDelta(t, 80, failed[0], 25)
 }
 
-// TestUpstreamSilent guards against silent connections that still carry bytes, are closed,
+// TestUpstreamSilent guards against silent connections that still carry a request or a response, are closed,
 // or keep new connections from working.
 func TestUpstreamSilent(t *testing.T) {
 	for protocol, h := range protocols {
 		t.Run(protocol, func(t *testing.T) {
 			u, address := startUpstream(t, settings(), tiller.SystemClock())
+			u.SetFaults(faker.UpstreamFaults{ServiceMillis: 100})
 			old := searcher(t, address, h(t))
-			_, err := old.Health(context.Background())
-			require.NoError(t, err)
-			u.SetFaults(faker.UpstreamFaults{Silent: true})
-
-			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 			defer cancel()
+			unanswered := make(chan error)
+			go func() {
+				_, _, err := searchNow(ctx, old, request("unanswered"))
+				unanswered <- err
+			}()
+			eventually(t, func() bool { return u.Counts().InFlight == 1 })
+			u.SetFaults(faker.UpstreamFaults{Silent: true})
+			eventually(t, func() bool { return u.Counts().Completed == 1 })
 			lost := make(chan error)
 			go func() {
 				_, _, err := searchNow(ctx, old, request("lost"))
 				lost <- err
 			}()
+			if protocol == "HTTP/1.1" {
+				// The old connection waits for its response, so the request takes a new one, which works.
+				require.NoError(t, <-lost)
+			} else {
+				require.ErrorIs(t, <-lost, context.DeadlineExceeded)
+				require.Empty(t, u.Runs("search")["lost"], "a silent connection brings no request")
+			}
 			res, _, err := searchNow(context.Background(), searcher(t, address, h(t)), request("new"))
 			require.NoError(t, err)
 			require.Equal(t, "new", res.ID)
-			u.SetFaults(faker.UpstreamFaults{})
-			require.Equal(t, 2, u.Counts().Connections.Open)
-			require.ErrorIs(t, <-lost, context.DeadlineExceeded)
-			require.Equal(t, map[string]int{"new": 1}, u.Runs("search"), "a silent connection brings no request")
+			require.ErrorIs(t, <-unanswered, context.DeadlineExceeded)
 		})
 	}
 }
@@ -340,6 +363,24 @@
 	require.Equal(t, map[string]int{"bystander": 1, "harmful": 1}, u.Runs("search"))
 }
 
+// TestUpstreamInProcess guards against a crash that ends only what came over a connection.
+func TestUpstreamInProcess(t *testing.T) {
+	s := settings()
+	s.ServiceMillis = 60_000
+	u, err := faker.NewUpstream(s, tiller.SystemClock())
+	require.NoError(t, err)
+	defer u.Close()
+	ended := make(chan error)
+	go func() {
+		_, err := u.Search(context.Background(), request("r1"))
+		ended <- err
+	}()
+	eventually(t, func() bool { return u.Counts().InFlight == 1 })
+	u.Crash()
+	require.ErrorContains(t, <-ended, "crashed")
+	eventually(t, func() bool { return u.Counts().Incarnation == 2 })
+}
+
 // TestUpstreamReports guards against a load report without lag and a health report that can't mislead.
 func TestUpstreamReports(t *testing.T) {
 	var clock manualClock
--- a/faker/upstreamcount.go
+++ b/faker/upstreamcount.go
@@ -25,6 +25,8 @@
 	Crashed int
 	// InFlight is the number of requests that run now.
 	InFlight int
+	// Waiting is the number of requests that wait for a slot now.
+	Waiting int
 	// GreatestInFlight is the greatest number of requests that ran at once.
 	GreatestInFlight int
 	// GreatestColdInFlight is the greatest number of requests started in cold start that ran at once,
