Encode a document without moves so that it decodes

Encode wrote the Moves of a document that has none as null, which DecodeDocument refuses ("Moves: want a list, have null"). The list is now empty, as the other lists are.

FuzzDecodeDocument/seed#0 fails before and after this change: before because of the fault, after because an absent list decodes as nil and an empty one does not. Whether both are to decode alike is left open here: sampler.Document has a nil list and is compared with decoded examples.

--- a/decoder/encode.go
+++ b/decoder/encode.go
@@ -26,6 +26,7 @@
 func withoutNilLists(doc tiller.Document) tiller.Document {
 	doc.Domains = list(doc.Domains, same)
 	doc.Upstreams = list(doc.Upstreams, same)
+	doc.Moves = list(doc.Moves, same)
 	doc.Services = list(doc.Services, func(s tiller.Service) tiller.Service {
 		s.Routes = list(s.Routes, same)
 		s.Snapshots = list(s.Snapshots, snapshotWithoutNilLists)
