Run the fakes of a whole document

faker.Fleet holds the platform and every upstream of a document with the limits and shards that the document states. tillerfake all starts one over the sample records and writes the document with the addresses in use, because the addresses of a document are seldom on the loopback interface.

--- a/cmd/tillerfake/main.go
+++ b/cmd/tillerfake/main.go
@@ -10,6 +10,9 @@
 
 	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
+
+	"github.com/carawaytiller/carawaytiller/decoder"
+	"github.com/carawaytiller/carawaytiller/logger"
 )
 
 // Exit codes.
@@ -23,6 +26,7 @@
 
 Standard output gets one JSON object with the addresses in use, standard error the log as JSON lines.
 At the control address, GET and PUT /fault show and replace the faults of a fake, and GET /counts shows its counts.
+For the sub-command all, these paths are under /store, /list (the list of VMs has no counts) and /upstreams/NAME.
 
 Exit codes: 0 stopped by a signal, 1 could not start, 2 wrong usage.`
 
@@ -35,9 +39,13 @@
 
 // run runs the program until ctx ends and returns its exit code.
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	log := newLogger(stderr)
+	log, err := logger.New(stderr, decoder.DefaultLogLevel)
+	if err != nil {
+		_, _ = io.WriteString(stderr, err.Error()+"\n")
+		return exitFailed
+	}
 	p := &program{ctx: ctx, stdout: stdout, log: log}
-	_, err := p.parser().ParseArgs(args)
+	_, err = p.parser().ParseArgs(args)
 	if err == nil {
 		return exitStopped
 	}
--- a/cmd/tillerfake/main_test.go
+++ b/cmd/tillerfake/main_test.go
@@ -6,6 +6,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -14,6 +17,7 @@
 
 	"github.com/carawaytiller/carawaytiller/api/platform"
 	"github.com/carawaytiller/carawaytiller/api/upstream"
+	"github.com/carawaytiller/carawaytiller/decoder"
 )
 
 // TestMain fails when the program leaves a goroutine behind.
@@ -104,6 +108,49 @@
 	require.Equal(t, upstream.SearchErrorReasonDraining, res.(*upstream.SearchErrorStatusCode).Response.Reason)
 }
 
+// TestAll guards against upstreams of a document that are missing, serve other shards than the document says,
+// or are not under their own control path.
+func TestAll(t *testing.T) {
+	written := filepath.Join(t.TempDir(), "running.json")
+	a := startProgram(t, "all", "--document", "../../examples/guild.json", "--write", written, "--service-time", "1")
+	text, err := os.ReadFile(written)
+	require.NoError(t, err)
+	doc, faults := decoder.DecodeDocument(written, text)
+	require.Empty(t, faults)
+	require.Len(t, a.Upstreams, len(doc.Upstreams))
+	require.Len(t, doc.Upstreams, 113)
+
+	service, ok := doc.Service("label-printer")
+	require.True(t, ok)
+	snapshot, ok := service.Snapshot(service.Current)
+	require.True(t, ok)
+	shard := snapshot.Shards[0]
+	for _, u := range doc.Upstreams {
+		require.Equal(t, u.Address, a.Upstreams[u.Name])
+		c, err := upstream.NewClient("http://" + u.Address)
+		require.NoError(t, err)
+		res, err := c.Search(context.Background(), &upstream.SearchRequest{
+			ID: "r1", Service: service.Name, Snapshot: snapshot.Name, Shards: []string{shard.Name},
+			Route: "search", Body: []byte(`{"Terms": ["sesame"]}`), Limit: 2, DeadlineMillis: 5000,
+		})
+		require.NoError(t, err)
+		_, answered := res.(*upstream.SearchResponse)
+		require.Equal(t, slices.Contains(shard.Upstreams, u.Name), answered, u.Name)
+	}
+	first := shard.Upstreams[0]
+	require.JSONEq(t, `{"r1": 1}`, control(t, "GET", a.Control, "/upstreams/"+first+"/runs/search", ""))
+
+	control(t, "POST", a.Control, "/list/vms", `{"Name": "a", "Address": "127.0.0.1:1", "Domain": "Kelowna", "Leaving": false}`)
+	c, err := platform.NewClient("http://" + a.Platform)
+	require.NoError(t, err)
+	list, err := c.ListVMs(context.Background())
+	require.NoError(t, err)
+	require.Len(t, list.VMs, 1)
+	control(t, "PUT", a.Control, "/store/fault", `{"Outage": true}`)
+	_, err = c.GetKey(context.Background(), platform.GetKeyParams{Key: "k"})
+	require.ErrorContains(t, err, "Unavailable")
+}
+
 // TestExitCodes guards against failures that look like a stop, and against a log that is not JSON.
 func TestExitCodes(t *testing.T) {
 	tests := []struct {
@@ -118,6 +165,8 @@
 		{"unknown option", []string{"store", "--wites", "3"}, exitUsage, ""},
 		{"wrong value", []string{"vms", "--vm", "a"}, exitUsage, ""},
 		{"not a loopback address", []string{"store", "--listen", "0.0.0.0:0"}, exitFailed, ""},
+		{"no document", []string{"all"}, exitUsage, ""},
+		{"document that is none", []string{"all", "--document", "main.go"}, exitFailed, ""},
 		{"no slots", []string{"upstream", "--slots", "0"}, exitFailed, ""},
 	}
 	for _, tt := range tests {
--- a/cmd/tillerfake/program.go
+++ b/cmd/tillerfake/program.go
@@ -22,6 +22,8 @@
 
 // addresses is the JSON object on standard output. Fakes that do not run are left out.
 type addresses struct {
+	// Platform serves the store and the list of VMs at one address.
+	Platform  string            `json:",omitempty"`
 	Store     string            `json:",omitempty"`
 	VMs       string            `json:",omitempty"`
 	Upstreams map[string]string `json:",omitempty"`
@@ -49,6 +51,7 @@
 	add("store", "Run a key-value store", &storeCommand{program: p})
 	add("vms", "Run a list of VMs", &vmsCommand{program: p})
 	add("upstream", "Run an upstream", &upstreamCommand{program: p})
+	add("all", "Run the platform and every upstream of a document", &allCommand{program: p})
 	return parser
 }
 
