Test nesting in strings, encoding and misspelt search fields

Changing single lines of the decoder and of the search showed checks that no test held: brackets in strings and comments, nil lists and escapes in Encode, a nameless failure domain, and unknown fields of a search body. Each has a test now.

--- a/decoder/diff_test.go
+++ b/decoder/diff_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/decoder"
 )
 
@@ -37,6 +38,20 @@
 	require.Contains(t, decoder.Diff(nil, next), decoder.Change{Field: "Seats", Old: "0", New: "2"})
 }
 
+// TestEncode guards against a null that the decoder refuses and against names that are escaped.
+func TestEncode(t *testing.T) {
+	doc := &tiller.Document{Environment: "trial", Seats: 1, Domains: []tiller.Domain{{Name: "a&b", Region: "r"}}}
+	text, err := decoder.Encode(doc)
+	require.NoError(t, err)
+	want := "{\n\t\"Environment\": \"trial\",\n\t\"Revision\": 0,\n\t\"Seats\": 1,\n\t\"Domains\": [\n\t\t{\n" +
+		"\t\t\t\"Name\": \"a&b\",\n\t\t\t\"Region\": \"r\",\n\t\t\t\"Out\": false\n\t\t}\n\t],\n" +
+		"\t\"Upstreams\": [],\n\t\"Services\": []\n}\n"
+	require.Equal(t, want, string(text))
+	again, faults := decoder.DecodeDocument("", text)
+	require.Empty(t, faults)
+	require.Empty(t, decoder.Diff(doc, again))
+}
+
 // TestReplaceEnvironment guards against a promotion that changes anything but the environment.
 func TestReplaceEnvironment(t *testing.T) {
 	text := "{// \"Environment\": \"x\"\n\"Seats\" : 1, \"Environment\" : /**/ \"trial\" , }"
--- a/decoder/document_test.go
+++ b/decoder/document_test.go
@@ -127,7 +127,8 @@
 // TestDecodeDocumentReportsEveryFault guards against a decoder that stops at the first fault.
 func TestDecodeDocumentReportsEveryFault(t *testing.T) {
 	text := `{"Environment": "x", "Seats": -1, "Extra": 1, "Domains": [{}], "Upstreams": [{"Name": 1}, 2],
-"Services": [{"Name": "", "Current": "c", "Snapshots": [{"Name": "n", "Shards": []}], "Limit": 0}]}`
+"Services": [{"Name": "", "Current": "c", "Snapshots": [{"Name": "n", "Shards": []},
+{"Name": "m", "Shards": [{"Name": "x", "Upstreams": ["u"]}]}], "Limit": 0}]}`
 	_, faults := decoder.DecodeDocument("d.json", []byte(text))
 	want := []string{
 		`d.json:1:17: Environment: x is none of trial, production`,
@@ -145,11 +146,22 @@
 		`d.json:2:23: Services[0].Name: empty`,
 		`d.json:2:38: Services[0].Current: no snapshot is called c`,
 		`d.json:2:81: Services[0].Snapshots[0].Shards: empty list`,
-		`d.json:2:96: Services[0].Limit: 0 is less than 1`,
+		`d.json:3:54: Services[0].Snapshots[1].Shards[0].Upstreams[0]: unknown upstream u`,
+		`d.json:3:73: Services[0].Limit: 0 is less than 1`,
 	}
 	require.Equal(t, strings.Join(want, "\n"), faults.String())
 }
 
+// TestDecodeDocumentCountsNestingOnly guards against brackets in strings and comments that count as nesting.
+func TestDecodeDocumentCountsNestingOnly(t *testing.T) {
+	brackets := strings.Repeat("[", 2*decoder.MaxNesting)
+	text := strings.Replace(small, "// comment", "/* "+brackets+" */ // "+brackets, 1)
+	text = strings.ReplaceAll(text, `"x"`, `"\"`+brackets+`"`)
+	doc, faults := decoder.DecodeDocument("", []byte(text))
+	require.Empty(t, faults.String())
+	require.Equal(t, `"`+brackets, doc.Services[0].Snapshots[0].Shards[0].Name)
+}
+
 // TestDecodeDocumentIsLinear guards against work that grows faster than the text, which an operator
 // or a damaged store value could use to stall a daemon. It counts allocations, which do not depend on the machine.
 func TestDecodeDocumentIsLinear(t *testing.T) {
--- a/sampler/search_test.go
+++ b/sampler/search_test.go
@@ -98,7 +98,7 @@
 		want                           tiller.Reason
 	}{
 		{"label-printer", "2026-03-01", "shard-01", `{"Terms": [" "]}`, tiller.ReasonBadRequest},
-		{"label-printer", "2026-03-01", "shard-01", `{"Term": ["sesame"]}`, tiller.ReasonBadRequest},
+		{"label-printer", "2026-03-01", "shard-01", `{"Terms": ["sesame"], "Exlude": ["nuts"]}`, tiller.ReasonBadRequest},
 		{"label-printer", "2026-03-01", "shard-01", good + good, tiller.ReasonBadRequest},
 		{"label-press", "2026-03-01", "shard-01", good, tiller.ReasonUnknownService},
 		{"label-printer", "2026-03-08", "shard-01", good, tiller.ReasonNoSnapshot},
