Decode and check the moves of the document

Change: Encode empties nil lists of any field, and an empty list decodes as nil, so that encoding and decoding gives an equal document. A move needs a known service, two different versions that upstreams of the service have while it runs, an end after its start, a canary share of 1 to 5 and a known state.

--- a/decoder/check.go
+++ b/decoder/check.go
@@ -23,6 +23,8 @@
 	maxConnect     = tiller.Minute
 	maxDeadline    = tiller.Hour
 	maxStop        = tiller.Hour
+	// maxCanaryPercent is the bound of the design on the share of a version that has not been judged.
+	maxCanaryPercent = 5
 )
 
 // environments lists the environments that have a document.
--- a/decoder/defaults.go
+++ b/decoder/defaults.go
@@ -7,7 +7,7 @@
 )
 
 // Defaults of optional fields of the document. Optional fields without a constant default to their zero value:
-// Revision, Out, Version, Leaving, Region of a service, and Single. Routes defaults to one repeatable route "search".
+// Revision, Out, Version, Leaving, Region of a service, Single, Moves and State. Routes defaults to one repeatable route "search".
 const (
 	// DefaultConnectMillis is the cost of a new connection of an upstream, in milliseconds.
 	DefaultConnectMillis tiller.Millis = 1
@@ -29,6 +29,8 @@
 	DefaultHedgePercent = 5
 	// DefaultRetryPercent is the budget of retries, in 100 first requests.
 	DefaultRetryPercent = 10
+	// DefaultCanaryPercent is the share of queries for a new version before it has been judged, in 100 queries.
+	DefaultCanaryPercent = 5
 )
 
 // Defaults of optional fields of the settings.
@@ -46,6 +48,7 @@
 	reflect.TypeFor[tiller.Domain]():   {"Name", "Region"},
 	reflect.TypeFor[tiller.Upstream](): {"Name", "Address", "Domain", "Slots", "Connections"},
 	reflect.TypeFor[tiller.Service]():  {"Name", "Current", "Snapshots"},
+	reflect.TypeFor[tiller.Move]():     {"Name", "Service", "From", "To", "StartAt", "FinishBy"},
 	// Repeatable has no default: neither value is safe to guess.
 	reflect.TypeFor[tiller.Route]():    {"Name", "Repeatable"},
 	reflect.TypeFor[tiller.Snapshot](): {"Name", "Shards"},
@@ -63,6 +66,8 @@
 		s.ColdSlots = DefaultColdSlots
 	case *tiller.Service:
 		setServiceDefaults(s)
+	case *tiller.Move:
+		s.CanaryPercent = DefaultCanaryPercent
 	}
 }
 
--- a/decoder/diff_test.go
+++ b/decoder/diff_test.go
@@ -29,8 +29,8 @@
 	require.Equal(t, []string{
 		`Domains[b].Out: false -> true`,
 		`Domains: order [a, b] -> order [b, a]`,
-		`Upstreams[u2]: removed {Address: "10.0.0.2:80", Domain: "b", Version: "", Slots: 2, Connections: 1, ConnectMillis: 1, ColdSlots: 2, Leaving: false}`,
-		`Upstreams[u3]: added {Address: "10.0.0.2:80", Domain: "b", Version: "", Slots: 2, Connections: 1, ConnectMillis: 1, ColdSlots: 2, Leaving: false}`,
+		`Upstreams[u2]: removed {Address: "10.0.0.2:80", Domain: "b", Version: "2", Slots: 2, Connections: 1, ConnectMillis: 1, ColdSlots: 2, Leaving: false}`,
+		`Upstreams[u3]: added {Address: "10.0.0.2:80", Domain: "b", Version: "2", Slots: 2, Connections: 1, ConnectMillis: 1, ColdSlots: 2, Leaving: false}`,
 		`Services[s].Routes[print]: removed {Repeatable: false, Single: true}`,
 		`Services[s].Snapshots[n1].Shards[y].Upstreams: [u2] -> [u3, u1]`,
 		`Services[s].NeededCoverage: 0.9 -> 0.5`,
@@ -45,7 +45,7 @@
 	require.NoError(t, err)
 	want := "{\n\t\"Environment\": \"trial\",\n\t\"Revision\": 0,\n\t\"Seats\": 1,\n\t\"Domains\": [\n\t\t{\n" +
 		"\t\t\t\"Name\": \"a&b\",\n\t\t\t\"Region\": \"r\",\n\t\t\t\"Out\": false\n\t\t}\n\t],\n" +
-		"\t\"Upstreams\": [],\n\t\"Services\": []\n}\n"
+		"\t\"Upstreams\": [],\n\t\"Services\": [],\n\t\"Moves\": []\n}\n"
 	require.Equal(t, want, string(text))
 	again, faults := decoder.DecodeDocument("", text)
 	require.Empty(t, faults)
--- a/decoder/document.go
+++ b/decoder/document.go
@@ -36,8 +36,15 @@
 	upstreams map[string]string
 	// serves maps the name of an upstream to the path of the service that uses it.
 	serves map[string]string
+	// versions holds the versions of the upstreams of each service.
+	versions map[serviceVersion]bool
+	// services maps the name of a service to its path.
+	services map[string]string
 }
 
+// serviceVersion is a version of upstreams of the service at a path.
+type serviceVersion struct{ path, version string }
+
 // newDocumentCheck returns the check of doc, which was decoded by r.
 func newDocumentCheck(r *reader, doc *tiller.Document) *documentCheck {
 	c := &documentCheck{
@@ -47,6 +54,8 @@
 		domains:   map[string]bool{},
 		upstreams: map[string]string{},
 		serves:    map[string]string{},
+		versions:  map[serviceVersion]bool{},
+		services:  map[string]string{},
 	}
 	for _, d := range doc.Domains {
 		c.regions[d.Region] = true
@@ -69,6 +78,7 @@
 	c.checkDomains()
 	c.checkUpstreams()
 	c.checkServices()
+	c.checkMoves()
 }
 
 // checkDomains checks the failure domains.
@@ -87,6 +97,7 @@
 	names := map[string]string{}
 	for i, s := range c.doc.Services {
 		path := index("Services", i)
+		c.services[s.Name] = path
 		c.r.uniqueName(join(path, "Name"), s.Name, names)
 		c.checkService(path, s)
 	}
--- a/decoder/document_test.go
+++ b/decoder/document_test.go
@@ -20,8 +20,8 @@
 {"Name": "b", "Region": "north"},
 ],
 "Upstreams": [
-{"Name": "u1", "Address": "10.0.0.1:80", "Domain": "a", "Slots": 2, "Connections": 25},
-{"Name": "u2", "Address": "10.0.0.2:80", "Domain": "b", "Slots": 2, "Connections": 1, "ColdSlots": 2},
+{"Name": "u1", "Address": "10.0.0.1:80", "Domain": "a", "Slots": 2, "Connections": 25, "Version": "1"},
+{"Name": "u2", "Address": "10.0.0.2:80", "Domain": "b", "Slots": 2, "Connections": 1, "ColdSlots": 2, "Version": "2"},
 ],
 "Services": [
 {"Name": "s",
@@ -113,6 +113,19 @@
 		{"no document", small, ``, `1:1: Document: parsing value: unexpected EOF`},
 		{"no object", small, `[]`, `1:1: Document: want an object, have a list`},
 	}
+	move := func(fields string) string {
+		return `"Seats": 2, "Moves": [{"Name": "m", "Service": "s", "From": "1", ` + fields + `}],`
+	}
+	for _, m := range []struct{ name, fields, want string }{
+		{"move back in time", `"To": "2", "StartAt": 9, "FinishBy": 9`, `3:103: Moves[0].FinishBy: 9 is less than 10`},
+		{"move to itself", `"To": "1", "StartAt": 1, "FinishBy": 9, "State": "Done"`, `3:72: Moves[0].To: same as From`},
+		{"canary share", `"To": "2", "StartAt": 1, "FinishBy": 9, "CanaryPercent": 6`, `3:123: Moves[0].CanaryPercent: 6 is more than 5`},
+		{"move state", `"To": "2", "StartAt": 1, "FinishBy": 9, "State": "done"`, `3:115: Moves[0].State: done is none of Done, TakenBack`},
+		{"move to nothing", `"To": "3", "StartAt": 1, "FinishBy": 9`, `3:72: Moves[0].To: no upstream of the service has version 3`},
+		{"move without a version", `"StartAt": 1, "FinishBy": 9`, `3:23: Moves[0].To: missing required field`},
+	} {
+		tests = append(tests, struct{ name, old, new, want string }{m.name, `"Seats": 2,`, move(m.fields), m.want})
+	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			require.Contains(t, small, test.old)
--- a/decoder/encode.go
+++ b/decoder/encode.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"reflect"
 
 	"github.com/go-faster/errors"
 
@@ -16,41 +17,27 @@
 	encoder := json.NewEncoder(&b)
 	encoder.SetEscapeHTML(false)
 	encoder.SetIndent("", "\t")
-	if err := encoder.Encode(withoutNilLists(*doc)); err != nil {
+	if err := encoder.Encode(withoutNilLists(reflect.ValueOf(*doc)).Interface()); err != nil {
 		return nil, errors.Wrap(err, "encode document")
 	}
 	return b.Bytes(), nil
 }
 
-// withoutNilLists returns a copy of doc in which nil lists are empty, because null is not a list to the decoder.
-func withoutNilLists(doc tiller.Document) tiller.Document {
-	doc.Domains = list(doc.Domains, same)
-	doc.Upstreams = list(doc.Upstreams, same)
-	doc.Services = list(doc.Services, func(s tiller.Service) tiller.Service {
-		s.Routes = list(s.Routes, same)
-		s.Snapshots = list(s.Snapshots, snapshotWithoutNilLists)
-		return s
-	})
-	return doc
-}
-
-// snapshotWithoutNilLists returns a copy of s in which nil lists are empty.
-func snapshotWithoutNilLists(s tiller.Snapshot) tiller.Snapshot {
-	s.Shards = list(s.Shards, func(shard tiller.Shard) tiller.Shard {
-		shard.Upstreams = list(shard.Upstreams, same)
-		return shard
-	})
-	return s
-}
-
-// list returns a copy of items, never nil, with f applied to each.
-func list[T any](items []T, f func(T) T) []T {
-	out := make([]T, len(items))
-	for i, item := range items {
-		out[i] = f(item)
+// withoutNilLists returns a deep copy of v in which nil lists are empty, because null is not a list to the decoder.
+func withoutNilLists(v reflect.Value) reflect.Value {
+	out := reflect.New(v.Type()).Elem()
+	switch v.Kind() {
+	case reflect.Slice:
+		out.Set(reflect.MakeSlice(v.Type(), v.Len(), v.Len()))
+		for i := range v.Len() {
+			out.Index(i).Set(withoutNilLists(v.Index(i)))
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			out.Field(i).Set(withoutNilLists(v.Field(i)))
+		}
+	default:
+		out.Set(v)
 	}
 	return out
 }
-
-// same returns its argument.
-func same[T any](v T) T { return v }
--- a/decoder/reader.go
+++ b/decoder/reader.go
@@ -137,13 +137,16 @@
 	r.read(join(path, name), member.Value, field)
 }
 
-// readList decodes a list.
+// readList decodes a list. An empty list decodes as nil, as a list that is left out does.
 func (r *reader) readList(path string, v hujson.Value, into reflect.Value) bool {
 	list, ok := v.Value.(*hujson.Array)
 	if !ok {
 		return r.wrongType(path, v, "a list")
 	}
-	into.Set(reflect.MakeSlice(into.Type(), len(list.Elements), len(list.Elements)))
+	into.SetZero()
+	if len(list.Elements) > 0 {
+		into.Set(reflect.MakeSlice(into.Type(), len(list.Elements), len(list.Elements)))
+	}
 	for i, element := range list.Elements {
 		r.read(index(path, i), element, into.Index(i))
 	}
