--- /dev/null
+++ b/runner/submit.go
@@ -0,0 +1,141 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/reducer"
+)
+
+const (
+	// replyGraceMillis is how long after its deadline a query without a reply is given up.
+	// The reducer replies before the deadline; the grace covers a busy process.
+	replyGraceMillis tiller.Millis = 1000
+	// retryAfterMillis is the hint to callers that are refused because the queue of arrivals is full.
+	retryAfterMillis tiller.Millis = 100
+)
+
+// waiter waits for the result of one query. Only the owner goroutine uses its ref.
+type waiter struct {
+	query tiller.Query
+	// ref is the reference of the query's arrival; 0 before.
+	ref    uint64
+	result chan tiller.Result
+}
+
+// Submit hands a caller's query to the reducer and waits for its result. When ctx ends first,
+// the query is cancelled and the result is a refusal with ReasonCancelled.
+func (r *Runner) Submit(ctx context.Context, q tiller.Query) tiller.Result {
+	return r.SubmitFrom(ctx, q, reducer.LocalCaller, 0)
+}
+
+// SubmitFrom is Submit for a query that the seat from has forwarded after redirects redirects.
+func (r *Runner) SubmitFrom(ctx context.Context, q tiller.Query, from, redirects int) tiller.Result {
+	w := &waiter{query: q, result: make(chan tiller.Result, 1)}
+	arrive := func() { r.arrive(w, from, redirects) }
+	if refusal := r.enqueue(q.ID, arrive); refusal != nil {
+		return tiller.Result{Refusal: refusal}
+	}
+	left := q.Deadline - r.cfg.Clock.Now() + replyGraceMillis
+	timer := time.NewTimer(left.Duration())
+	defer timer.Stop()
+	select {
+	case result := <-w.result:
+		return result
+	case <-ctx.Done():
+		r.abandonQuery(w, tiller.ReasonCancelled)
+	case <-timer.C:
+		r.cfg.Count("missing_reply", tiller.ReasonTimeout, 1)
+		r.abandonQuery(w, tiller.ReasonTimeout)
+	case <-r.ended:
+	}
+	return r.lastResult(w)
+}
+
+// enqueue queues a task of a caller. It returns a refusal when there is no room.
+func (r *Runner) enqueue(id tiller.RequestID, task func()) *tiller.Refusal {
+	select {
+	case <-r.ended:
+		return r.refuse(id, tiller.NotRun, tiller.ReasonStopping, 0)
+	default:
+	}
+	select {
+	case r.arrivals <- task:
+		return nil
+	default:
+		return r.refuse(id, tiller.NotRun, tiller.ReasonQueueFull, retryAfterMillis)
+	}
+}
+
+// refuse returns a refusal of the runner itself and counts it.
+func (r *Runner) refuse(id tiller.RequestID, v tiller.Verdict, reason tiller.Reason, after tiller.Millis) *tiller.Refusal {
+	r.cfg.Count("refusal", reason, 1)
+	return &tiller.Refusal{ID: id, Verdict: v, Reason: reason, RetryAfter: after, Owner: -1}
+}
+
+// arrive hands a query to the reducer.
+func (r *Runner) arrive(w *waiter, from, redirects int) {
+	r.lastRef++
+	w.ref = r.lastRef
+	r.waiting[w.ref] = w
+	r.handle(func(s reducer.Stamp) reducer.Event {
+		return reducer.QueryArrived{Stamp: s, Query: w.query, From: from, Redirects: redirects, Ref: w.ref}
+	})
+}
+
+// reply delivers a result to the caller that waits for it.
+func (r *Runner) reply(e reducer.Reply) {
+	w, ok := r.waiting[e.Ref]
+	if !ok {
+		r.cfg.Count("late_reply", reasonOf(e.Result), 1)
+		return
+	}
+	delete(r.waiting, e.Ref)
+	w.result <- e.Result
+}
+
+// abandonQuery tells the reducer that nobody waits for a query any more, and ends the waiter.
+func (r *Runner) abandonQuery(w *waiter, reason tiller.Reason) {
+	task := func() {
+		if r.waiting[w.ref] != w {
+			return
+		}
+		r.handle(func(s reducer.Stamp) reducer.Event {
+			return reducer.CallerGone{Stamp: s, Caller: w.query.Caller, ID: w.query.ID, Ref: w.ref}
+		})
+		if r.waiting[w.ref] == w {
+			delete(r.waiting, w.ref)
+			w.result <- tiller.Result{Refusal: r.refuse(w.query.ID, tiller.MayHaveRun, reason, 0)}
+		}
+	}
+	// The arrivals are handled in order, so this runs after the query's own arrival.
+	select {
+	case r.arrivals <- task:
+	case <-r.ended:
+	}
+}
+
+// lastResult waits for the result of an abandoned query. When the runner ended before it handled
+// the query, the query was not run.
+func (r *Runner) lastResult(w *waiter) tiller.Result {
+	select {
+	case result := <-w.result:
+		return result
+	case <-r.ended:
+	}
+	select {
+	case result := <-w.result:
+		return result
+	default:
+	}
+	return tiller.Result{Refusal: r.refuse(w.query.ID, tiller.NotRun, tiller.ReasonStopping, 0)}
+}
+
+// reasonOf returns the reason of a refusal, and an empty one of an answer.
+func reasonOf(result tiller.Result) tiller.Reason {
+	if result.Refusal == nil {
+		return ""
+	}
+	return result.Refusal.Reason
+}
