--- /dev/null
+++ b/assembler/fleet_test.go
@@ -0,0 +1,137 @@
+package assembler_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-faster/jx"
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/api/caller"
+	"github.com/carawaytiller/carawaytiller/assembler"
+	"github.com/carawaytiller/carawaytiller/demonstrator"
+	"github.com/carawaytiller/carawaytiller/faker"
+)
+
+// patience bounds each wait of a test; a passing test waits for much less.
+const patience = 15 * time.Second
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// shardCount is the number of shards of the service "index"; shard i is on upstream i only.
+const shardCount = 4
+
+// document returns a small document: a service of four shards and a printer on two upstreams.
+func document(seats int) *tiller.Document {
+	doc := &tiller.Document{Environment: "trial", Revision: 1, Seats: seats}
+	doc.Domains = []tiller.Domain{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "c", Region: "r"}}
+	add := func(name string) {
+		domain := doc.Domains[len(doc.Upstreams)%len(doc.Domains)].Name
+		doc.Upstreams = append(doc.Upstreams, tiller.Upstream{
+			Name: name, Domain: domain, Slots: 4, Connections: 10, ConnectMillis: 1, ColdSlots: 4,
+		})
+	}
+	index := tiller.Snapshot{Name: "n1"}
+	for i := range shardCount {
+		name := fmt.Sprint("index-", i)
+		add(name)
+		index.Shards = append(index.Shards, tiller.Shard{Name: fmt.Sprint("s", i), Upstreams: []string{name}})
+	}
+	add("printer-0")
+	add("printer-1")
+	paper := tiller.Snapshot{Name: "n1", Shards: []tiller.Shard{{Name: "s0", Upstreams: []string{"printer-0", "printer-1"}}}}
+	service := tiller.Service{
+		Current: "n1", WaitFor: tiller.WaitForCoverage, NeededCoverage: 1, DeadlineMillis: 5 * tiller.Second,
+		Limit: 100, QueueLimit: 1000, HedgePercent: 5, RetryPercent: 10,
+	}
+	first, second := service, service
+	first.Name, first.Snapshots = "index", []tiller.Snapshot{index}
+	first.Routes = []tiller.Route{{Name: "search", Repeatable: true}}
+	second.Name, second.Snapshots = "printer", []tiller.Snapshot{paper}
+	second.Routes = []tiller.Route{{Name: "print", Single: true}}
+	doc.Services = []tiller.Service{first, second}
+	return doc
+}
+
+// find finds one item in each shard, which names the query that it was made for.
+func find(_, _, shard, _ string, body []byte, _ int) ([]tiller.Item, error) {
+	return []tiller.Item{{Key: shard, Score: 1, Body: body}}, nil
+}
+
+// start starts a fleet and waits until both services have an owner.
+func start(t *testing.T, seats int, tune func(*faker.UpstreamSettings)) *demonstrator.Fleet {
+	t.Helper()
+	upstream := demonstrator.DefaultUpstream(find)
+	upstream.ColdRequests = 1
+	if tune != nil {
+		tune(&upstream)
+	}
+	f, err := demonstrator.Start(demonstrator.Config{
+		Clock: tiller.SystemClock(), Logger: logr.Discard(), Document: document(seats), Upstream: upstream, DrainMillis: 300,
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		f.Close()
+	})
+	require.Eventually(t, func() bool {
+		_, err := ask(t.Context(), f.Daemons[0], query("warm", `"warm"`))
+		return err == nil
+	}, patience, 20*time.Millisecond)
+	return f
+}
+
+func query(id, body string) *caller.Query {
+	return &caller.Query{
+		ID: id, Caller: "c", Service: "index", Route: "search", Body: jx.Raw(body), DeadlineMillis: 3000,
+		Repeatable: caller.NewOptBool(true),
+	}
+}
+
+func printOf(id, token string) *caller.Query {
+	q := query(id, `"label"`)
+	q.Service, q.Route = "printer", "print"
+	q.Repeatable = caller.NewOptBool(false)
+	q.Token = caller.NewOptString(token)
+	return q
+}
+
+func client(d *assembler.Daemon) *caller.Client {
+	c, err := caller.NewClient("http://" + d.CallerAddress())
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// ask sends a query to a daemon.
+func ask(ctx context.Context, d *assembler.Daemon, q *caller.Query) (*caller.Answer, error) {
+	return client(d).Query(ctx, q)
+}
+
+// refused sends a query that must be refused.
+func refused(t *testing.T, d *assembler.Daemon, q *caller.Query) caller.Refusal {
+	t.Helper()
+	_, err := ask(t.Context(), d, q)
+	var refusal *caller.RefusalStatusCode
+	require.True(t, errors.As(err, &refusal), "got %v", err)
+	return refusal.Response
+}
+
+// requireOwn requires that every item of an answer was made for the query with the given body.
+func requireOwn(t *testing.T, a *caller.Answer, body string) {
+	t.Helper()
+	for _, item := range a.Items {
+		require.True(t, bytes.Equal([]byte(body), item.Body), "an item for %s in the answer to %s", item.Body, body)
+	}
+}
--- a/cmd/tillerd/demo.go
+++ b/cmd/tillerd/demo.go
@@ -35,7 +35,7 @@
 		Clock:    tiller.SystemClock(),
 		Logger:   log,
 		Document: sampler.Document(sampler.Guild, func(string) string { return "" }),
-		Search:   runSearch(records),
+		Upstream: demonstrator.DefaultUpstream(runSearch(records)),
 	})
 	if err != nil {
 		return err
@@ -138,7 +138,7 @@
 // checkPrints returns an error unless the label was printed once, although it was asked for twice.
 func (d *demo) checkPrints() error {
 	runs := 0
-	for _, u := range d.fleet.Upstreams {
+	for _, u := range d.fleet.Fakes.Upstreams {
 		runs += u.Runs("print")[printID]
 	}
 	if runs != 1 {
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -22,96 +22,61 @@
 	Logger logr.Logger
 	// Document is what the fleet serves. The addresses of its upstreams are replaced by those of the fakes.
 	Document *tiller.Document
-	// Search is what the fake upstreams run.
-	Search faker.SearchFunc
-	// Tune changes the settings of a fake upstream before it starts; nil leaves them.
-	Tune func(*faker.UpstreamSettings)
+	// Upstream holds the settings of the fake upstreams that the document does not state; Search is required.
+	Upstream faker.UpstreamSettings
 	// DrainMillis is that of each daemon.
 	DrainMillis tiller.Millis
 }
 
+// DefaultUpstream returns settings for small and quick upstreams that run search.
+func DefaultUpstream(search faker.SearchFunc) faker.UpstreamSettings {
+	return faker.UpstreamSettings{
+		QueueLimit:    4,
+		ColdRequests:  20,
+		ColdMillis:    5 * tiller.Second,
+		RestartMillis: 200,
+		ServiceMillis: 2,
+		Search:        search,
+		Seed:          1,
+	}
+}
+
 // Fleet is a running fleet.
 type Fleet struct {
 	cfg      Config
 	exchange *exchange
+	// Fakes are the platform and the upstreams.
+	Fakes *faker.Fleet
 	// Document is the document in force, with the addresses of the fakes.
-	Document  *tiller.Document
-	Platform  *faker.Platform
-	Upstreams map[string]*faker.Upstream
+	Document *tiller.Document
 	// Daemons are the daemons by seat; a stopped one is nil.
 	Daemons []*assembler.Daemon
 }
 
 // Start starts a fleet with one daemon for each seat of the document. Close ends it.
 func Start(cfg Config) (*Fleet, error) {
-	f := &Fleet{cfg: cfg, exchange: newExchange(), Upstreams: make(map[string]*faker.Upstream)}
-	if err := f.start(); err != nil {
-		f.Close()
+	fakes, err := faker.NewFleet(*cfg.Document, cfg.Upstream, faker.StoreSettings{}, cfg.Clock)
+	if err != nil {
 		return nil, err
 	}
-	return f, nil
-}
-
-func (f *Fleet) start() error {
-	var err error
-	f.Platform, err = faker.NewPlatform(faker.StoreSettings{}, f.cfg.Clock)
+	_, doc, err := fakes.Start()
 	if err != nil {
-		return fmt.Errorf("platform: %w", err)
-	}
-	if _, err := f.Platform.Start(loopback); err != nil {
-		return fmt.Errorf("platform: %w", err)
+		return nil, err
 	}
-	if err := f.startUpstreams(); err != nil {
-		return err
+	f := &Fleet{
+		cfg:      cfg,
+		exchange: newExchange(),
+		Fakes:    fakes,
+		Document: &doc,
+		Daemons:  make([]*assembler.Daemon, doc.Seats),
 	}
-	f.Daemons = make([]*assembler.Daemon, f.Document.Seats)
 	for seat := range f.Daemons {
 		if err := f.StartDaemon(seat, 1); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// startUpstreams starts a fake for each upstream and puts its address into a copy of the document.
-func (f *Fleet) startUpstreams() error {
-	doc := *f.cfg.Document
-	doc.Upstreams = append([]tiller.Upstream(nil), doc.Upstreams...)
-	for i, u := range doc.Upstreams {
-		fake, err := faker.NewUpstream(f.settings(u), f.cfg.Clock)
-		if err != nil {
-			return fmt.Errorf("upstream %s: %w", u.Name, err)
-		}
-		f.Upstreams[u.Name] = fake
-		if doc.Upstreams[i].Address, err = fake.Start(loopback); err != nil {
-			return fmt.Errorf("upstream %s: %w", u.Name, err)
+			f.Close()
+			return nil, err
 		}
 	}
-	f.Document = &doc
-	return nil
-}
-
-// settings returns what a fake bears: what the document says of the upstream.
-func (f *Fleet) settings(u tiller.Upstream) faker.UpstreamSettings {
-	s := faker.UpstreamSettings{
-		Name:          u.Name,
-		Slots:         u.Slots,
-		QueueLimit:    u.Slots,
-		Connections:   u.Connections,
-		ConnectMillis: u.ConnectMillis,
-		ColdSlots:     u.ColdSlots,
-		ColdRequests:  20,
-		ColdMillis:    5 * tiller.Second,
-		RestartMillis: 200,
-		ServiceMillis: 2,
-		Holdings:      faker.Holdings(*f.cfg.Document, u.Name),
-		Search:        f.cfg.Search,
-		Seed:          1,
-	}
-	if f.cfg.Tune != nil {
-		f.cfg.Tune(&s)
-	}
-	return s
+	return f, nil
 }
 
 // StartDaemon starts the daemon of a seat, which has none, with an incarnation greater than before.
@@ -163,10 +128,5 @@
 			d.Close()
 		}
 	}
-	for _, u := range f.Upstreams {
-		u.Close()
-	}
-	if f.Platform != nil {
-		f.Platform.Close()
-	}
+	f.Fakes.Close()
 }
