Test the bounds of the query path in virtual time

Stragglers and a silent upstream at fan-out 370, shedding on all upstreams, overload, slot utilisation, the cold return of a failure domain, fair shares and a poison request run against the bounds of the design page.

--- a/hedger/budget.go
+++ b/hedger/budget.go
@@ -24,6 +24,13 @@
 	return b
 }
 
+// WithShed returns b after a first request was shed: it gains only half of its share. When every
+// request is shed, extra requests only add to the load.
+func (b Budget) WithShed() Budget {
+	b.tokens = max(b.tokens-b.percent/2, 0)
+	return b
+}
+
 // WithPercent returns b with another share of extra requests.
 func (b Budget) WithPercent(percent int) Budget {
 	b.percent = max(percent, 0)
--- a/hedger/hedger_test.go
+++ b/hedger/hedger_test.go
@@ -29,6 +29,7 @@
 	}
 	require.Equal(t, 100, extra)
 	require.False(t, hedger.NewBudget(5, 10).WithFirst(100_000).Allows(11))
+	require.False(t, hedger.NewBudget(10, 10).WithFirst(10).WithShed().Allows(1))
 }
 
 // Old measurements must not decide when hedged requests start after the service has become faster,
--- /dev/null
+++ b/reducer/bounds_test.go
@@ -0,0 +1,319 @@
+package reducer_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/reducer"
+)
+
+// The bounds of this file are those of docs/design.md, section 9.
+
+// idealP99 is the 99th percentile of the slowest of n requests without stragglers, queues and losses.
+func idealP99(s *sim, n int, draw func() tiller.Millis) tiller.Millis {
+	var slowest []tiller.Millis
+	for range 4000 {
+		longest := tiller.Millis(0)
+		for range n {
+			longest = max(longest, draw())
+		}
+		slowest = append(slowest, longest+2*s.hop)
+	}
+	slices.Sort(slowest)
+	return slowest[len(slowest)*99/100]
+}
+
+// extra returns the requests beyond the first ones, as a share of these.
+func (s *sim) extra() float64 {
+	return float64(s.counts["hedge"]+s.counts["retry"]) / float64(s.counts["attempt"])
+}
+
+// Stragglers decide the latency of a large fan-out unless hedged requests replace them within their budget.
+func TestStragglersAtFanOut370(t *testing.T) {
+	for _, distinct := range []bool{false, true} {
+		t.Run(fmt.Sprint("distinct=", distinct), func(t *testing.T) {
+			s := newSim(t, 2, cluster{shards: 370, upstreams: 740, replicas: 2, slots: 8, coldSlots: 4}.document(), reducer.Config{})
+			plain := func() tiller.Millis { return logNormal(s, 20, 0.4) }
+			for _, name := range sortedNames(s) {
+				s.upstreams[name].service = straggling(s, 1000, 100, plain)
+			}
+			s.load(20, 50_000, func() tiller.Query {
+				q := s.search("c", 2000)
+				if !distinct {
+					q.Body = []byte(fmt.Sprint(s.rng.IntN(5)))
+				}
+				return q
+			})
+			s.run(80_000)
+			s.inspect.checkReplied()
+			require.Empty(t, s.inspect.faults)
+			warm := s.summarize(50, s.nextRef, nil)
+			ideal := idealP99(s, 370, plain)
+			t.Logf("queries %d, complete %d, p50 %d ms, p99 %d ms, ideal p99 %d ms, ratio %.2f, extra requests %.4f",
+				warm.asked, warm.complete, warm.quantile(0.5), warm.quantile(0.99), ideal,
+				float64(warm.quantile(0.99))/float64(ideal), s.extra())
+			require.Equal(t, warm.asked, warm.complete, "%v", warm.refusals)
+			require.LessOrEqual(t, warm.quantile(0.99), tiller.Millis(400))
+			require.LessOrEqual(t, float64(warm.quantile(0.99)), 1.5*float64(ideal))
+			require.LessOrEqual(t, s.extra(), 0.05)
+		})
+	}
+}
+
+func sortedNames(s *sim) []string {
+	var names []string
+	for name := range s.upstreams {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// An upstream that accepts requests and never responds must not delay the queries, nor use up the budgets.
+func TestOneUpstreamSilent(t *testing.T) {
+	s := newSim(t, 3, cluster{shards: 370, upstreams: 740, replicas: 2, slots: 8, coldSlots: 4}.document(), reducer.Config{})
+	s.load(20, 40_000, func() tiller.Query {
+		q := s.search("c", 2000)
+		q.Body = []byte(fmt.Sprint(s.rng.IntN(5)))
+		return q
+	})
+	s.run(6000)
+	before := s.nextRef
+	s.upstreams["u7"].silent = true
+	s.run(80_000)
+	s.inspect.checkReplied()
+	require.Empty(t, s.inspect.faults)
+	sum := s.summarize(before+1, s.nextRef, nil)
+	ideal := idealP99(s, 370, func() tiller.Millis { return logNormal(s, 20, 0.4) })
+	t.Logf("queries %d, complete %d, p50 %d ms, p99 %d ms, ideal p99 %d ms, extra requests %.4f",
+		sum.asked, sum.complete, sum.quantile(0.5), sum.quantile(0.99), ideal, s.extra())
+	require.Equal(t, sum.asked, sum.complete, "%v", sum.refusals)
+	require.LessOrEqual(t, sum.quantile(0.99), tiller.Millis(400))
+	require.LessOrEqual(t, float64(sum.quantile(0.99)), 1.5*float64(ideal))
+	require.LessOrEqual(t, s.extra(), 0.05)
+}
+
+// Retries against upstreams that all shed would multiply the load that they shed.
+func TestAllUpstreamsShed(t *testing.T) {
+	s := newSim(t, 4, cluster{shards: 370, upstreams: 740, replicas: 2, slots: 8, coldSlots: 4}.document(), reducer.Config{})
+	same := func() tiller.Query {
+		q := s.search("c", 1000)
+		q.Body = []byte("same")
+		return q
+	}
+	s.load(20, 2000, same)
+	s.run(10_000)
+	for _, u := range s.upstreams {
+		u.shedding = true
+	}
+	before, first, retries := s.nextRef, s.counts["attempt"], s.counts["retry"]
+	s.load(20, 20_000, same)
+	s.run(60_000)
+	s.inspect.checkReplied()
+	require.Empty(t, s.inspect.faults)
+	sum := s.summarize(before+1, s.nextRef, nil)
+	first, retries = s.counts["attempt"]-first, s.counts["retry"]-retries
+	perShard := float64(first+retries) / float64(sum.asked*370)
+	t.Logf("queries %d, first requests %d, retries %d, requests per shard and query %.4f, per first request %.4f, refusals %v",
+		sum.asked, first, retries, perShard, float64(first+retries)/float64(max(first, 1)), sum.refusals)
+	require.Zero(t, sum.answered)
+	require.LessOrEqual(t, perShard, 1.1)
+}
+
+// overload returns the complete answers per second at an offered rate.
+func overload(t *testing.T, seed uint64, c cluster, rate float64, deadline tiller.Millis) (goodput float64, sum summary) {
+	s := newSim(t, seed, c.document(), reducer.Config{})
+	const length = 20_000
+	s.load(rate, length, func() tiller.Query {
+		q := s.search(fmt.Sprint("c", s.rng.IntN(10)), deadline)
+		q.Body = []byte(fmt.Sprint(s.rng.IntN(20)))
+		return q
+	})
+	s.run(60_000)
+	s.inspect.checkReplied()
+	require.Empty(t, s.inspect.faults)
+	sum = s.summarize(1, s.nextRef, nil)
+	return float64(sum.complete) / length * 1000, sum
+}
+
+// Under overload, work on queries that end after their deadline is lost; the goodput must not collapse.
+func TestGoodputAtTwiceTheCapacity(t *testing.T) {
+	tests := []struct {
+		name string
+		c    cluster
+	}{
+		{"fan-out 12", cluster{shards: 12, upstreams: 24, replicas: 2, slots: 4, coldSlots: 2}},
+		{"two upstreams", cluster{shards: 8, upstreams: 2, replicas: 2, slots: 2}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			// The capacity is the greatest goodput at any offered rate up to what the slots can bear at all.
+			mean := 20 * 1.083
+			requests := float64(test.c.shards)
+			if test.c.upstreams == 2 {
+				requests = 1
+			}
+			most := float64(test.c.upstreams*test.c.slots) / (requests * mean / 1000)
+			best, at := 0.0, 0.0
+			for _, share := range []float64{0.6, 0.7, 0.8, 0.9, 1} {
+				if g, _ := overload(t, 5, test.c, share*most, 400); g > best {
+					best, at = g, share*most
+				}
+			}
+			twice, sum := overload(t, 5, test.c, 2*best, 400)
+			t.Logf("capacity %.1f/s at an offered rate of %.1f/s (slots bear %.1f/s), goodput at twice the capacity %.1f/s, ratio %.3f, refusals %v",
+				best, at, most, twice, twice/best, sum.refusals)
+			require.GreaterOrEqual(t, twice, 0.9*best)
+		})
+	}
+}
+
+// Slots that stand idle while queries wait waste what little there is.
+func TestSlotUtilisation(t *testing.T) {
+	s := newSim(t, 6, cluster{shards: 8, upstreams: 2, replicas: 2, slots: 2}.document(), reducer.Config{})
+	const length = 60_000
+	rate := 0.9 * 4 / (20 * 1.083 / 1000)
+	from := 0
+	s.load(rate, length, func() tiller.Query {
+		q := s.search(fmt.Sprint("c", from%8), 2000)
+		q.Body = []byte(fmt.Sprint(s.rng.IntN(20)))
+		from++
+		return q
+	})
+	s.run(length + 10_000)
+	s.inspect.checkReplied()
+	require.Empty(t, s.inspect.faults)
+	busy := s.upstreams["u0"].busy + s.upstreams["u1"].busy
+	sum := s.summarize(1, s.nextRef, nil)
+	t.Logf("utilisation %.3f, queries %d, complete %d, p99 %d ms, refusals %v", busy/(4*length), sum.asked, sum.complete, sum.quantile(0.99), sum.refusals)
+	require.GreaterOrEqual(t, busy/(4*length), 0.85)
+}
+
+// A failure domain that returns is cold everywhere at once; no upstream may get more than its allowance.
+func TestColdReturnOfAFailureDomain(t *testing.T) {
+	s := newSim(t, 7, cluster{shards: 36, upstreams: 36, replicas: 2, slots: 6, coldSlots: 2}.document(), reducer.Config{})
+	s.load(150, 30_000, func() tiller.Query {
+		q := s.search("c", 2000)
+		q.Body = []byte(fmt.Sprint(s.rng.IntN(20)))
+		return q
+	})
+	out := func(out bool) func(*tiller.Document) {
+		return func(d *tiller.Document) { d.Domains[0].Out = out }
+	}
+	s.at(8000, func() { s.change(out(true)) })
+	s.at(12_000, func() {
+		for _, name := range sortedNames(s) {
+			if u := s.upstreams[name]; u.spec.Domain == "d0" {
+				u.crash()
+			}
+		}
+	})
+	s.at(16_000, func() { s.change(out(false)) })
+	s.run(60_000)
+	s.inspect.checkReplied()
+	require.Empty(t, s.inspect.faults)
+	overloads, returned := 0, 0
+	for _, u := range s.upstreams {
+		overloads += u.overloads
+		if u.spec.Domain == "d0" && u.completed > u.warmAfter {
+			returned++
+		}
+	}
+	sum := s.summarize(1, s.nextRef, nil)
+	t.Logf("queries %d, complete %d, p99 %d ms, overloaded in cold start %d, warm again %d of 12, refusals %v",
+		sum.asked, sum.complete, sum.quantile(0.99), overloads, returned, sum.refusals)
+	require.Zero(t, overloads)
+	require.Equal(t, sum.asked, sum.complete, "%v", sum.refusals)
+	require.Equal(t, 12, returned)
+}
+
+// A caller at fifty times the rate of another must not take its share.
+func TestFairnessAtFiftyTimesTheRate(t *testing.T) {
+	tests := []struct {
+		name string
+		c    cluster
+		rate float64
+	}{
+		{"fan-out 12", cluster{shards: 12, upstreams: 24, replicas: 2, slots: 4, coldSlots: 2}, 12},
+		{"two upstreams", cluster{shards: 8, upstreams: 2, replicas: 2, slots: 2}, 6},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p99 := func(large float64) (tiller.Millis, summary, summary) {
+				s := newSim(t, 8, test.c.document(), reducer.Config{})
+				callers := map[uint64]string{}
+				ask := func(caller string) func() tiller.Query {
+					return func() tiller.Query {
+						callers[s.nextRef+1] = caller
+						q := s.search(caller, 1000)
+						q.Body = []byte(fmt.Sprint(s.rng.IntN(20)))
+						return q
+					}
+				}
+				s.load(test.rate, 100_000, ask("small"))
+				if large > 0 {
+					s.load(large, 100_000, ask("large"))
+				}
+				s.run(150_000)
+				s.inspect.checkReplied()
+				require.Empty(t, s.inspect.faults)
+				of := func(caller string) summary {
+					return s.summarize(1, s.nextRef, func(ref uint64) bool { return callers[ref] == caller })
+				}
+				small := of("small")
+				return small.quantile(0.99), small, of("large")
+			}
+			alone, _, _ := p99(0)
+			beside, small, large := p99(50 * test.rate)
+			t.Logf("small caller: p99 alone %d ms, beside the large one %d ms, ratio %.2f, complete %d of %d %v; large caller: complete %d of %d",
+				alone, beside, float64(beside)/float64(alone), small.complete, small.asked, small.refusals, large.complete, large.asked)
+			require.LessOrEqual(t, float64(beside), 1.5*float64(alone))
+			require.Equal(t, small.asked, small.complete)
+		})
+	}
+}
+
+// A request that crashes every upstream that runs it is sent again and again by its caller.
+func TestPoisonRequestSentAHundredTimes(t *testing.T) {
+	tests := []struct {
+		name string
+		c    cluster
+	}{
+		{"fan-out 370", cluster{shards: 370, upstreams: 740, replicas: 2, slots: 8, coldSlots: 4}},
+		{"four upstreams", cluster{shards: 4, upstreams: 4, replicas: 2, slots: 6, coldSlots: 3}},
+		{"two upstreams", cluster{shards: 8, upstreams: 2, replicas: 2, slots: 2}},
+		{"one failure domain", cluster{shards: 4, upstreams: 6, replicas: 2, slots: 6, coldSlots: 3, domains: 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSim(t, 9, test.c.document(), reducer.Config{})
+			s.load(20, 30_000, func() tiller.Query { return s.search("c", 2000) })
+			poison := map[uint64]bool{}
+			for i := range 100 {
+				s.at(tiller.Millis(6000+i*200), func() {
+					q := s.search("p", 2000)
+					q.Body = []byte(poisonBody)
+					poison[s.askFrom(q, i%8)] = true
+				})
+			}
+			s.run(60_000)
+			s.inspect.checkReplied()
+			require.Empty(t, s.inspect.faults)
+			lost := 0
+			for _, u := range s.upstreams {
+				lost += u.crashes
+			}
+			others := s.summarize(1, s.nextRef, func(ref uint64) bool { return !poison[ref] })
+			harmful := s.summarize(1, s.nextRef, func(ref uint64) bool { return poison[ref] })
+			t.Logf("poison requests %d, refused %v, upstreams lost %d; other requests %d, complete %d, refused %v",
+				harmful.asked, harmful.refusals, lost, others.asked, others.complete, others.refusals)
+			require.Equal(t, 100, harmful.asked)
+			require.LessOrEqual(t, lost, 2)
+			require.Equal(t, others.asked, others.complete, "%v", others.refusals)
+		})
+	}
+}
--- a/reducer/failed.go
+++ b/reducer/failed.go
@@ -65,6 +65,9 @@
 		return
 	}
 	m.limit = m.limit.WithShed(a.sentAt, s.now)
+	if a.kind == kindFirst {
+		m.unit.retries = m.unit.retries.WithShed()
+	}
 	s.pause(m, min(max(e.RetryAfter, shedPauseMillis), longestPauseMillis))
 }
 
--- a/reducer/fake_test.go
+++ b/reducer/fake_test.go
@@ -172,11 +172,23 @@
 	change                                                 func(*tiller.Document)
 }
 
+// stride is the distance between the replicas of a shard, which puts them into different failure domains.
+func (c cluster) stride(domains int) int {
+	stride := max(c.upstreams/c.replicas, 1)
+	if stride%domains == 0 && domains > 1 {
+		stride++
+	}
+	return stride
+}
+
 // document returns the document of a cluster. Shard i has its replicas on
 // upstreams i, i+1, ... of its part of the ring, in different failure domains.
 func (c cluster) document() *tiller.Document {
 	d := &tiller.Document{Environment: "trial", Revision: 1, Seats: 8}
-	domains := max(c.domains, 3)
+	domains := c.domains
+	if domains == 0 {
+		domains = 3
+	}
 	for i := range domains {
 		d.Domains = append(d.Domains, tiller.Domain{Name: fmt.Sprint("d", i), Region: "r"})
 	}
@@ -196,7 +208,7 @@
 		for i := range c.shards {
 			sh := tiller.Shard{Name: fmt.Sprint("s", i)}
 			for r := range c.replicas {
-				sh.Upstreams = append(sh.Upstreams, fmt.Sprint("u", (i+r*max(c.upstreams/c.replicas, 1))%c.upstreams))
+				sh.Upstreams = append(sh.Upstreams, fmt.Sprint("u", (i+r*c.stride(domains))%c.upstreams))
 			}
 			n.Shards = append(n.Shards, sh)
 		}
