Test the lease protocol against faults of the network, the clocks and the processes

Cause: the storm found an owner that gave a unit up with requests of an earlier lease in flight. Change: the contract of Release names them; rapid and directed tests cover the voters' rules.

--- /dev/null
+++ b/tracker/rule_test.go
@@ -0,0 +1,169 @@
+package tracker
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// TestFaultMachine guards the same invariants as TestStorm with faults chosen and shrunk by rapid.
+func TestFaultMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seats := rapid.IntRange(3, 5).Draw(t, "seats")
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), seats, spread(2, seats, 0))
+		w.startAll()
+		w.run(settleMillis)
+		node := func(t *rapid.T) *node { return w.nodes[rapid.IntRange(0, seats-1).Draw(t, "seat")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"Pause":     func(t *rapid.T) { w.pause(node(t), rapid.Int64Range(0, 2900).Draw(t, "millis")) },
+			"Stop":      func(t *rapid.T) { w.stop(node(t)) },
+			"Leave":     func(t *rapid.T) { w.leave(node(t)) },
+			"Partition": func(t *rapid.T) { node(t).side = rapid.IntRange(0, 1).Draw(t, "side") },
+			"Epoch":     func(*rapid.T) { w.changeEpoch() },
+			"Network": func(t *rapid.T) {
+				w.loss = rapid.Float64Range(0, 0.5).Draw(t, "loss")
+				w.twice = rapid.Float64Range(0, 0.5).Draw(t, "twice")
+				w.maxDelay = w.minDelay + rapid.Int64Range(0, 400*trueMillis).Draw(t, "delay")
+			},
+			"Start": func(t *rapid.T) {
+				if n := node(t); !n.up {
+					w.start(n)
+				}
+			},
+			"Run": func(t *rapid.T) { w.run(rapid.Int64Range(1, 2000).Draw(t, "millis")) },
+			"":    func(t *rapid.T) { require.Empty(t, w.faults) },
+		})
+		w.calm()
+		w.run(calmMillis)
+		require.Empty(t, w.faults)
+		require.Empty(t, w.unowned())
+	})
+}
+
+// TestAnyMessage guards against a message that crashes a table, makes it
+// grow without bound or keeps it awake.
+func TestAnyMessage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		units := spread(2, 3, 0)
+		table := New(Config{Seat: 0, Incarnation: 1}, 1000)
+		table.SetUnits(1000, 1, units)
+		now := tiller.Millis(1000)
+		number := rapid.OneOf(rapid.Int64Range(-10, 20_000), rapid.Int64())
+		for range 100 {
+			now += tiller.Millis(rapid.Int64Range(0, 4000).Draw(t, "step"))
+			m := Message{
+				Kind:         MessageKind(rapid.IntRange(0, 5).Draw(t, "kind")),
+				Unit:         units[rapid.IntRange(0, 1).Draw(t, "unit")].ID,
+				Epoch:        unitEpoch(1, units[0].Voters),
+				Seat:         rapid.IntRange(-1, 3).Draw(t, "seat"),
+				Incarnation:  rapid.Int64Range(0, 2).Draw(t, "incarnation"),
+				SentAt:       tiller.Millis(number.Draw(t, "sent")),
+				Length:       tiller.Millis(rapid.Int64Range(-10, math.MaxInt32).Draw(t, "length")),
+				Holder:       rapid.IntRange(-2, 4).Draw(t, "holder"),
+				SuspectsHash: rapid.Uint64().Draw(t, "hash"),
+				Renewal:      rapid.Bool().Draw(t, "renewal"),
+				Wait:         tiller.Millis(rapid.Int64Range(-10, math.MaxInt32).Draw(t, "wait")),
+			}
+			for i := range rapid.IntRange(0, 100).Draw(t, "suspects") {
+				m.Suspects = append(m.Suspects, Suspect{Digest: uint64(i), Losses: int(number.Draw(t, "losses")), Expires: tiller.Millis(number.Draw(t, "expires"))})
+			}
+			require.LessOrEqual(t, len(table.Receive(now, rapid.IntRange(-1, 4).Draw(t, "from"), m, 1)), 4)
+			table.Tick(now, 1)
+			require.Greater(t, table.NextWake(), now)
+			for _, u := range units {
+				require.LessOrEqual(t, len(table.Suspects(now, u.ID)), MaxSuspects)
+			}
+		}
+	})
+}
+
+// TestSlowSpread guards against a new voter set that grants while owners by the old document have leases,
+// with the document in force at the last moment and clocks at the ends of their range.
+func TestSlowSpread(t *testing.T) {
+	w := newWorld(1, 6, []Unit{{ID: UnitID{Service: "bulletin"}, Voters: []int{0, 1, 2}}})
+	for i, n := range w.nodes {
+		n.ppm = []int64{-10_000, 10_000}[i/3]
+	}
+	w.startAll()
+	w.run(settleMillis)
+	w.units = []Unit{{ID: w.units[0].ID, Voters: []int{3, 4, 5}}}
+	for _, n := range w.nodes[3:] {
+		n.table.SetUnits(n.local(w.now), 1, w.units)
+		w.arm(n)
+	}
+	w.run(int64(DefaultSpreadMillis))
+	for _, n := range w.nodes[:3] {
+		n.table.SetUnits(n.local(w.now), 1, w.units)
+	}
+	w.run(3000)
+	require.Empty(t, w.faults)
+	require.Empty(t, w.unowned())
+}
+
+// TestRestartedVoterGrace guards against a successor, chosen by a voter that forgot the owner, that starts
+// while requests of that owner may run.
+func TestRestartedVoterGrace(t *testing.T) {
+	w := newWorld(1, 3, spread(1, 3, 0))
+	w.startAll()
+	w.run(settleMillis)
+	w.nodes[2].side = 1
+	w.run(3000)
+	w.nodes[1].ppm = 10_000
+	w.stop(w.nodes[1])
+	w.start(w.nodes[1])
+	w.run(1000)
+	w.stop(w.nodes[0])
+	w.nodes[2].side = 0
+	w.run(1500)
+	require.Empty(t, w.faults)
+	require.Empty(t, w.unowned())
+}
+
+// TestVoter guards the rules of a voter that faults of the network rarely bring into play.
+func TestVoter(t *testing.T) {
+	unit := Unit{ID: UnitID{Service: "bulletin"}, Voters: []int{0, 1, 2}}
+	settled := 1000 + stretch(DefaultSpreadMillis) + LeaseMillis
+	voter := func() *Table {
+		table := New(Config{Seat: 2, Incarnation: 1}, 1000)
+		table.SetUnits(1000, 1, []Unit{unit})
+		return table
+	}
+	request := Message{
+		Kind: Request, Unit: unit.ID, Epoch: unitEpoch(1, unit.Voters),
+		Seat: 1, Incarnation: 5, SentAt: 7, Length: LeaseMillis, Settled: true,
+	}
+	reply := func(table *Table, now tiller.Millis, m Message) MessageKind {
+		return table.Receive(now, 1, m, 1)[0].Message.Kind
+	}
+
+	t.Run("OneIncarnation", func(t *testing.T) {
+		table := voter()
+		require.Equal(t, Grant, reply(table, settled, request))
+		next := request
+		next.Incarnation++
+		require.Equal(t, Deny, reply(table, settled+LeaseMillis-1, next))
+		require.Equal(t, Grant, reply(table, settled+LeaseMillis, next))
+		require.Empty(t, table.Receive(settled+LeaseMillis, 1, request, 1))
+	})
+	t.Run("ReturnToEpoch", func(t *testing.T) {
+		table := voter()
+		table.SetUnits(settled, 2, []Unit{unit})
+		table.SetUnits(settled+1, 1, []Unit{unit})
+		require.Equal(t, Deny, reply(table, settled+LeaseMillis, request))
+	})
+	t.Run("LateGrant", func(t *testing.T) {
+		table := voter()
+		out := table.Tick(settled, 1)
+		require.Len(t, out, 2)
+		require.Len(t, table.Tick(settled+RoundMillis, 1), 2)
+		late := out[0].Message
+		late.Kind = Grant
+		out = table.Receive(settled+RoundMillis, 1, late, 1)
+		require.Len(t, out, 1)
+		require.Equal(t, Release, out[0].Message.Kind)
+	})
+}
--- a/tracker/table.go
+++ b/tracker/table.go
@@ -244,7 +244,8 @@
 }
 
 // Release gives up a unit whose work has ended, or the attempt to get it, and invites the next candidate,
-// which starts without the waiting time. The caller has no request of the unit in flight.
+// which starts without the waiting time. The caller has no request of the unit in flight, also none
+// from before a lapse of the lease.
 func (t *Table) Release(now tiller.Millis, id UnitID) []Envelope {
 	now = t.advance(now)
 	u := t.units[id]
