Find the voters of a unit in its home region only

Cause: ranking 7,400 units over 7,400 seats took about 8 s of the reducer when the epoch changes, longer than a lease, because each unit hashed every seat and looked its domain up in a map. Change: a Roster groups the seats once; a unit hashes the seats of its home region, and others only when these are fewer than three.

--- a/reducer/voters.go
+++ b/reducer/voters.go
@@ -18,7 +18,7 @@
 	if s.cfg.SetUnits == nil {
 		return
 	}
-	seats := router.Seats(s.document)
+	roster := router.NewRoster(router.Seats(s.document))
 	regionOf := func(domain string) string { return c.domains[domain].Region }
 	var units []tracker.Unit
 	for _, spec := range s.document.Services {
@@ -26,7 +26,7 @@
 		region := router.HomeRegion(spec, sv.upstreams, regionOf)
 		for index := range sv.owners {
 			id := tracker.UnitID{Service: spec.Name, Index: index}
-			units = append(units, tracker.Unit{ID: id, Voters: s.rankVoters(id, region, seats)})
+			units = append(units, tracker.Unit{ID: id, Voters: s.rankVoters(id, region, roster)})
 		}
 	}
 	s.leaseVersion++
@@ -34,11 +34,11 @@
 }
 
 // rankVoters returns the voters of a unit, ranked again only when the epoch or the home region has changed.
-func (s *State) rankVoters(id tracker.UnitID, region string, seats []router.Seat) []int {
+func (s *State) rankVoters(id tracker.UnitID, region string, roster router.Roster) []int {
 	set, ok := s.voters[id]
 	if !ok || set.epoch != s.epoch || set.region != region {
 		set = voterSet{epoch: s.epoch, region: region}
-		set.seats = router.Voters(id.Service, id.Index, region, seats)
+		set.seats = roster.Voters(id.Service, id.Index, region)
 		s.voters[id] = set
 	}
 	return set.seats
@@ -53,7 +53,7 @@
 		return set.seats
 	}
 	region := router.HomeRegion(u.service.spec, u.service.upstreams, s.regionOf)
-	return s.rankVoters(u.id, region, router.Seats(s.document))
+	return s.rankVoters(u.id, region, router.NewRoster(router.Seats(s.document)))
 }
 
 func (s *State) regionOf(domain string) string {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -63,7 +63,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			all := seats(test.seats, test.domains, test.regions)
 			for index := range 50 {
-				voters := router.Voters("s", index, "r0", all)
+				voters := router.NewRoster(all).Voters("s", index, "r0")
 				domains, home := map[string]bool{}, 0
 				for _, v := range voters {
 					domains[all[v].Domain] = true
--- a/router/voters.go
+++ b/router/voters.go
@@ -27,60 +27,79 @@
 	return seats
 }
 
+// Roster holds the seats of a document by region and failure domain, so that the voters of a unit
+// are found by hashing the seats of its home region only. It is immutable.
+type Roster struct {
+	domains []domainSeats
+	seats   int
+}
+
+// domainSeats are the numbers of the seats of one failure domain, ascending.
+type domainSeats struct {
+	region string
+	seats  []int
+}
+
+// NewRoster groups seats by failure domain.
+func NewRoster(seats []Seat) Roster {
+	r := Roster{seats: len(seats)}
+	indexes := make(map[[2]string]int)
+	for _, s := range seats {
+		key := [2]string{s.Region, s.Domain}
+		n, ok := indexes[key]
+		if !ok {
+			n = len(r.domains)
+			indexes[key] = n
+			r.domains = append(r.domains, domainSeats{region: s.Region})
+		}
+		r.domains[n].seats = append(r.domains[n].seats, s.Number)
+	}
+	return r
+}
+
 // Voters returns the seats that vote on the lease of a unit, in rank order. Seats of the home region come
 // before all others, so that a region cut off from the others keeps its services; among them,
 // seats in different failure domains come first.
-func Voters(service string, index int, region string, seats []Seat) []int {
+func (r Roster) Voters(service string, index int, region string) []int {
 	key := unitHash(service, index)
-	if len(seats) <= VoterCount {
-		return numbers(Rank(key, seats))
+	if r.seats <= VoterCount {
+		return numbers(r.best(key, func(string) bool { return true }))
 	}
-	home, rest := make([]Seat, 0, len(seats)), make([]Seat, 0, len(seats))
-	for _, s := range seats {
-		if s.Region == region {
-			home = append(home, s)
-		} else {
-			rest = append(rest, s)
-		}
+	voters := r.best(key, func(name string) bool { return name == region })
+	if len(voters) < VoterCount {
+		voters = append(voters, r.best(key, func(name string) bool { return name != region })...)
 	}
-	voters := appendBest(nil, key, home)
-	voters = appendBest(voters, key, rest)
-	return numbers(voters)
+	return numbers(voters[:min(len(voters), VoterCount)])
 }
 
-// appendBest adds the best ranked seats until there are enough voters: first the best of each
-// failure domain that has no voter yet, then the best of what is left.
-func appendBest(voters []Seat, key uint64, seats []Seat) []Seat {
-	first := make(map[string]ranked)
-	best := make([]ranked, 0, VoterCount+1)
-	for _, s := range seats {
-		r := ranked{seat: s, hash: seatHash(key, s.Number)}
-		if old, ok := first[s.Domain]; !ok || r.before(old) {
-			first[s.Domain] = r
+// best returns the best ranked seat of each failure domain, best first, and then,
+// when these are fewer than the voters needed, the best of what is left.
+func (r Roster) best(key uint64, wanted func(region string) bool) []ranked {
+	var first, left []ranked
+	for _, d := range r.domains {
+		if !wanted(d.region) {
+			continue
 		}
-		best = insertBest(best, r)
-	}
-	byDomain := make([]ranked, 0, len(first))
-	for _, r := range first {
-		byDomain = append(byDomain, r)
-	}
-	slices.SortFunc(byDomain, ranked.compare)
-	for _, r := range byDomain {
-		if !slices.ContainsFunc(voters, func(v Seat) bool { return v.Domain == r.seat.Domain }) {
-			voters = appendVoter(voters, r.seat)
+		top := topOf(key, d.seats)
+		first = append(first, top[0])
+		for _, seat := range top[1:] {
+			left = insertBest(left, seat)
 		}
 	}
-	for _, r := range best {
-		voters = appendVoter(voters, r.seat)
+	slices.SortFunc(first, ranked.compare)
+	if len(first) < VoterCount {
+		return append(first, left...)
 	}
-	return voters
+	return first
 }
 
-func appendVoter(voters []Seat, s Seat) []Seat {
-	if len(voters) == VoterCount || slices.Contains(voters, s) {
-		return voters
+// topOf returns the best ranked of some seats, as many as there are voters.
+func topOf(key uint64, seats []int) []ranked {
+	top := make([]ranked, 0, VoterCount+1)
+	for _, seat := range seats {
+		top = insertBest(top, ranked{seat: seat, hash: seatHash(key, seat)})
 	}
-	return append(voters, s)
+	return top
 }
 
 // insertBest keeps the best seats in order.
@@ -95,20 +114,20 @@
 
 // ranked is a seat of equal weight with its hash; the greatest hash ranks first.
 type ranked struct {
-	seat Seat
+	seat int
 	hash uint64
 }
 
 func (r ranked) before(other ranked) bool { return r.compare(other) < 0 }
 
 func (r ranked) compare(other ranked) int {
-	return cmp.Or(cmp.Compare(other.hash, r.hash), cmp.Compare(r.seat.Number, other.seat.Number))
+	return cmp.Or(cmp.Compare(other.hash, r.hash), cmp.Compare(r.seat, other.seat))
 }
 
-func numbers(seats []Seat) []int {
+func numbers(seats []ranked) []int {
 	n := make([]int, len(seats))
 	for i, s := range seats {
-		n[i] = s.Number
+		n[i] = s.seat
 	}
 	return n
 }
