Test admission, forwarding, leases and documents of the reducer

A wait for an owner now ends a round of redirects only when its timer fires; a redirect beyond the second one began a new round at once and looped. A shard that waits without a lease has its unit looked at, so that the query is handed over. A new owner starts with three retries, because the first requests of a small service could not be sent again.

--- /dev/null
+++ b/reducer/admit_test.go
@@ -0,0 +1,142 @@
+package reducer_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/reducer"
+)
+
+// A refusal with the wrong verdict makes a caller repeat a request that ran, or give up one that did not.
+func TestRefusalsBeforeAnythingIsSent(t *testing.T) {
+	tests := []struct {
+		name    string
+		change  func(*sim, *tiller.Query)
+		verdict tiller.Verdict
+		reason  tiller.Reason
+	}{
+		{"service", func(_ *sim, q *tiller.Query) { q.Service = "x" }, tiller.NotRun, tiller.ReasonUnknownService},
+		{"route", func(_ *sim, q *tiller.Query) { q.Route = "x" }, tiller.NotRun, tiller.ReasonBadRequest},
+		{"deadline past", func(s *sim, q *tiller.Query) { q.Deadline = s.now }, tiller.NotRun, tiller.ReasonDeadlinePast},
+		{"deadline too short", func(s *sim, q *tiller.Query) { q.Deadline = s.now + 5 }, tiller.NotRun, tiller.ReasonDeadlineTooShort},
+		{"fan-out not repeatable", func(_ *sim, q *tiller.Query) { q.Repeatable = false }, tiller.NotRun, tiller.ReasonBadRequest},
+		{"no token", func(_ *sim, q *tiller.Query) { q.Route = "print" }, tiller.NotRun, tiller.ReasonTokenRequired},
+		{"malformed token", func(_ *sim, q *tiller.Query) { q.Route, q.Token = "print", "x" }, tiller.NotRun, tiller.ReasonTokenUnknown},
+		{"forgotten token", func(_ *sim, q *tiller.Query) { q.Route, q.Token = "print", "0.0.ff" }, tiller.MayHaveRun, tiller.ReasonTokenUnknown},
+		{"token of a predecessor", func(_ *sim, q *tiller.Query) { q.Route, q.Token = "print", "0.9.ff" }, tiller.MayHaveRun, tiller.ReasonTokenIssuerGone},
+		{"duplicate", func(s *sim, q *tiller.Query) { q.ID = "first"; s.ask(*q) }, tiller.MayHaveRun, tiller.ReasonDuplicateID},
+		{"stopping", func(s *sim, _ *tiller.Query) { s.step(reducer.StopRequested{Stamp: s.stamp()}) }, tiller.NotRun, tiller.ReasonStopping},
+		{"no document", func(s *sim, _ *tiller.Query) { s.state = reducer.New(reducer.Config{}) }, tiller.NotRun, tiller.ReasonNotReady},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSim(t, 1, cluster{shards: 2, upstreams: 2, replicas: 1, slots: 2}.document(), reducer.Config{})
+			s.manual = true
+			q := s.search("c", 1000)
+			test.change(s, &q)
+			ref := s.ask(q)
+			r := the[reducer.Reply](s)
+			require.Equal(t, ref, r.Ref)
+			require.NotNil(t, r.Result.Refusal)
+			require.Equal(t, test.reason, r.Result.Refusal.Reason)
+			require.Equal(t, test.verdict, r.Result.Refusal.Verdict)
+			require.Empty(t, effectsOf[reducer.SendAttempt](s.last))
+			count := effectsOf[reducer.Count](s.last)
+			require.Contains(t, count, reducer.Count{Name: reducer.CountRefusal, Label: test.reason, N: 1})
+			require.Empty(t, s.inspect.faults)
+		})
+	}
+}
+
+// The end of a duplicate must not cancel the first query; the end of the first one must cancel its attempts.
+func TestCallerGone(t *testing.T) {
+	s := newSim(t, 1, cluster{shards: 2, upstreams: 2, replicas: 1, slots: 2}.document(), reducer.Config{})
+	s.manual = true
+	q := s.search("c", 1000)
+	q.ID = "a"
+	first := s.ask(q)
+	sent := the[reducer.SendAttempt](s)
+	second := s.ask(q)
+	s.step(reducer.CallerGone{Stamp: s.stamp(), Caller: "c", ID: "a", Ref: second})
+	require.Empty(t, s.last)
+	s.step(reducer.CallerGone{Stamp: s.stamp(), Caller: "c", ID: "a", Ref: first})
+	require.Equal(t, sent.Request.Attempt, the[reducer.CancelAttempt](s).Attempt)
+	r := the[reducer.Reply](s)
+	require.Equal(t, tiller.ReasonCancelled, r.Result.Refusal.Reason)
+	require.Equal(t, tiller.MayHaveRun, r.Result.Refusal.Verdict)
+	s.respond(sent)
+	require.Equal(t, []reducer.Effect{reducer.Count{Name: reducer.CountDropped, N: 1}}, s.last)
+	require.Empty(t, s.inspect.faults)
+}
+
+// A Tail service answers after its straggler wait, with the missing shard named; a Coverage service waits.
+func TestStragglerWait(t *testing.T) {
+	for _, waitFor := range []tiller.WaitFor{tiller.WaitForTail, tiller.WaitForCoverage} {
+		t.Run(string(waitFor), func(t *testing.T) {
+			c := cluster{shards: 4, upstreams: 4, replicas: 1, slots: 2, change: func(d *tiller.Document) {
+				d.Services[0].WaitFor, d.Services[0].NeededCoverage = waitFor, 0.75
+			}}
+			s := newSim(t, 1, c.document(), reducer.Config{})
+			s.manual = true
+			s.ask(s.search("c", 1000))
+			start := s.now
+			s.respond(the[reducer.SendAttempt](s))
+			sent := effectsOf[reducer.SendAttempt](s.last)
+			require.Len(t, sent, 3)
+			s.respond(sent[0])
+			s.now += 10
+			s.respond(sent[1])
+			require.Empty(t, effectsOf[reducer.Reply](s.last))
+			for len(effectsOf[reducer.Reply](s.last)) == 0 {
+				s.pass(1)
+			}
+			answer := the[reducer.Reply](s).Result.Answer
+			require.Equal(t, []tiller.MissingShard{{Shard: sent[2].Request.Shards[0], Reason: tiller.ReasonTimeout}}, answer.Coverage.Missing)
+			want := start + 10 + 20
+			if waitFor == tiller.WaitForCoverage {
+				want = start + 1000 - 5
+			}
+			require.Equal(t, want, s.now)
+			require.Equal(t, sent[2].Request.Attempt, the[reducer.CancelAttempt](s).Attempt)
+			require.Empty(t, s.inspect.faults)
+		})
+	}
+}
+
+// A response that belongs to another request, attempt, snapshot or shard must not be used.
+func TestMismatchedResponses(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*tiller.SearchResponse)
+	}{
+		{"request", func(r *tiller.SearchResponse) { r.ID = "other" }},
+		{"attempt", func(r *tiller.SearchResponse) { r.Attempt++ }},
+		{"snapshot", func(r *tiller.SearchResponse) { r.Snapshot = "n2" }},
+		{"missing shard", func(r *tiller.SearchResponse) { r.Shards = r.Shards[:1] }},
+		{"another shard", func(r *tiller.SearchResponse) { r.Shards[0].Shard = "s9" }},
+		{"shard twice", func(r *tiller.SearchResponse) { r.Shards[1] = r.Shards[0] }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSim(t, 1, cluster{shards: 2, upstreams: 2, replicas: 2, slots: 2}.document(), reducer.Config{})
+			s.manual = true
+			ref := s.ask(s.search("c", 1000))
+			a := the[reducer.SendAttempt](s).Request
+			resp := tiller.SearchResponse{ID: a.ID, Attempt: a.Attempt, Snapshot: a.Snapshot, Shards: []tiller.ShardItems{
+				{Shard: a.Shards[0], Items: itemsOf("n1", "s0")}, {Shard: a.Shards[1], Items: itemsOf("n1", "s1")},
+			}}
+			test.change(&resp)
+			s.step(reducer.ResponseArrived{Stamp: s.stamp(), Attempt: a.Attempt, Response: resp})
+			require.Contains(t, s.last, reducer.Count{Name: reducer.CountMismatched, Label: tiller.ReasonMismatch, N: 1})
+			require.Empty(t, effectsOf[reducer.Reply](s.last))
+			for len(effectsOf[reducer.Reply](s.last)) == 0 {
+				s.pass(5)
+			}
+			r := the[reducer.Reply](s)
+			require.Equal(t, ref, r.Ref)
+			require.Equal(t, tiller.MayHaveRun, r.Result.Refusal.Verdict)
+		})
+	}
+}
--- a/reducer/forward.go
+++ b/reducer/forward.go
@@ -51,9 +51,6 @@
 		return
 	}
 	f := &q.forwarding
-	if f.isSeeking && f.redirects > maxRedirects {
-		f.tried, f.redirects = f.tried[:0], 0
-	}
 	seat, ok := s.candidate(q)
 	switch {
 	case ok && f.redirects <= maxRedirects:
@@ -119,12 +116,18 @@
 		s.refuseAfter(q, ownerReason(q), "no owner found", ownerRetryMillis)
 		return
 	}
-	f.redirects = maxRedirects + 1
 	q.phase = phaseSeeking
 	q.unit.seeking.add(q)
 	s.arm(&q.timers[timerOwner], at)
 }
 
+// onOwnerDue looks for the owner again, in a new round.
+func (s *State) onOwnerDue(q *query) {
+	f := &q.forwarding
+	f.tried, f.redirects, f.hasName = f.tried[:0], 0, false
+	s.seekOwner(q)
+}
+
 func ownerReason(q *query) tiller.Reason {
 	if q.mayHaveRun {
 		return tiller.ReasonOwnerLost
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -26,6 +26,9 @@
 	hop tiller.Millis
 	// tamper plants a fault between the reducer and the inspector.
 	tamper func([]reducer.Effect) []reducer.Effect
+	// manual leaves the effects to the test, which finds them in last.
+	manual bool
+	last   []reducer.Effect
 	// onForward answers forwarded queries.
 	onForward func(reducer.Forward)
 
@@ -83,6 +86,10 @@
 		effects = s.tamper(effects)
 	}
 	s.inspect.see(s, e, effects)
+	s.last = effects
+	if s.manual {
+		return
+	}
 	for _, effect := range effects {
 		s.carryOut(effect)
 	}
@@ -236,3 +243,42 @@
 	*a = (*a)[:len(*a)-1]
 	return last
 }
+
+// effectsOf returns the effects of one type.
+func effectsOf[T reducer.Effect](effects []reducer.Effect) []T {
+	var found []T
+	for _, e := range effects {
+		if e, ok := e.(T); ok {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// the returns the only effect of one type in the last step.
+func the[T reducer.Effect](s *sim) T {
+	s.t.Helper()
+	found := effectsOf[T](s.last)
+	require.Len(s.t, found, 1)
+	return found[0]
+}
+
+// respond delivers the response to an attempt.
+func (s *sim) respond(a reducer.SendAttempt) {
+	resp := tiller.SearchResponse{ID: a.Request.ID, Attempt: a.Request.Attempt, Snapshot: a.Request.Snapshot, Incarnation: 1}
+	for _, sh := range a.Request.Shards {
+		resp.Shards = append(resp.Shards, tiller.ShardItems{Shard: sh, Items: itemsOf(a.Request.Snapshot, sh)})
+	}
+	s.step(reducer.ResponseArrived{Stamp: s.stamp(), Attempt: a.Request.Attempt, Response: resp})
+}
+
+// fail ends an attempt without a response.
+func (s *sim) fail(a reducer.SendAttempt, v tiller.Verdict, reason tiller.Reason) {
+	s.step(reducer.AttemptFailed{Stamp: s.stamp(), Attempt: a.Request.Attempt, Verdict: v, Reason: reason})
+}
+
+// pass lets time pass.
+func (s *sim) pass(d tiller.Millis) {
+	s.now += d
+	s.step(reducer.TimeAdvanced{Stamp: s.stamp()})
+}
--- a/reducer/inspector_test.go
+++ b/reducer/inspector_test.go
@@ -81,10 +81,11 @@
 			in.end(e.Attempt, tiller.MayHaveRun, nil, s.steps)
 		}
 	case reducer.AttemptFailed:
-		in.end(e.Attempt, e.Verdict, nil, s.steps)
-		if a := in.attempts[e.Attempt]; a != nil && e.Reason == tiller.ReasonDraining {
+		// Nothing is expected from an attempt that was cancelled, so that its end tells nothing.
+		if a := in.attempts[e.Attempt]; a != nil && !a.ended && e.Reason == tiller.ReasonDraining {
 			in.draining[a.effect.Upstream] = true
 		}
+		in.end(e.Attempt, e.Verdict, nil, s.steps)
 	case reducer.UpstreamRestarted:
 		in.cold[e.Upstream] = true
 		in.draining[e.Upstream] = false
--- a/reducer/place.go
+++ b/reducer/place.go
@@ -170,6 +170,7 @@
 		}
 	}
 	q.unit.pending.add(q)
+	s.touch(q.unit)
 }
 
 // replicasOf says whether an upstream that may serve the shard is open, and whether one lacks the snapshot.
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -102,7 +102,7 @@
 	case timerExpiry:
 		s.onExpiry(t.query)
 	case timerOwner:
-		s.seekOwner(t.query)
+		s.onOwnerDue(t.query)
 	case timerUnit:
 		s.touch(t.unit)
 	case timerResume:
--- a/reducer/unit.go
+++ b/reducer/unit.go
@@ -15,6 +15,9 @@
 // the loss of one upstream at a fan-out of several hundred.
 const budgetBurst = 100
 
+// firstRetries is the number of retries that a new owner may send before it has earned any.
+const firstRetries = 3
+
 // unit is a unit of ownership: the queue, the limits and the measurements of its work at this daemon.
 type unit struct {
 	id tracker.UnitID
@@ -104,7 +107,7 @@
 		queue:    queuer.New(0),
 		measures: make(map[string]*measure),
 		hedges:   hedger.NewBudget(spec.HedgePercent, budgetBurst),
-		retries:  hedger.NewBudget(spec.RetryPercent, budgetBurst),
+		retries:  hedger.NewBudget(spec.RetryPercent, budgetBurst).WithSpent(-firstRetries),
 	}
 	s.held = append(s.held, u)
 	s.adopt(u)
