--- a/reducer/document.go
+++ b/reducer/document.go
@@ -10,11 +10,7 @@
 type service struct {
 	spec      tiller.Service
 	upstreams []tiller.Upstream
-	// outs says for each of the upstreams whether its failure domain is out.
-	outs []bool
-	// indexes gives the places of the upstreams by name.
-	indexes map[string]int
-	owners  int
+	owners    int
 	// since is the time at which this number of owners was first seen.
 	since tiller.Millis
 }
@@ -48,18 +44,21 @@
 		return
 	}
 	s.document = d
+	s.catalog = newCatalog(d)
 	s.epoch = router.Epoch(d)
-	c := newCatalog(d)
-	s.listUpstreams(c)
-	s.listServices(c)
+	s.listUpstreams()
+	s.listServices()
 	s.adoptAll()
-	s.announceUnits(c)
+	s.announceUnits()
 }
 
-// listUpstreams replaces the document entries of the upstreams that are in use here.
-func (s *State) listUpstreams(c catalog) {
+// listUpstreams replaces the document entries of the upstreams that something is known of.
+func (s *State) listUpstreams() {
 	for name, u := range s.upstreams {
-		_, u.listed = c.upstreams[name]
+		_, u.listed = s.catalog.upstreams[name]
+		if !u.listed && len(u.members) == 0 {
+			delete(s.upstreams, name)
+		}
 	}
 	for _, spec := range s.document.Upstreams {
 		u, ok := s.upstreams[spec.Name]
@@ -68,7 +67,7 @@
 		}
 		replaced := spec.Address != u.spec.Address
 		u.spec = spec
-		u.out = c.domains[spec.Domain].Out
+		u.out = s.catalog.domains[spec.Domain].Out
 		if replaced {
 			u.draining, u.incarnation = false, 0
 			s.restart(u, false)
@@ -76,11 +75,11 @@
 	}
 }
 
-func (s *State) listServices(c catalog) {
+func (s *State) listServices() {
 	before := s.services
 	s.services = make(map[string]*service, len(s.document.Services))
 	for _, spec := range s.document.Services {
-		sv := newService(spec, c)
+		sv := &service{spec: spec, upstreams: s.catalog.upstreamsOf(spec)}
 		sv.owners = router.Owners(sv.upstreams, s.document.Seats)
 		sv.since = s.now
 		if old, ok := before[spec.Name]; ok && old.owners == sv.owners {
@@ -90,30 +89,25 @@
 	}
 }
 
-// newService finds the upstreams that hold a shard of any snapshot of a service.
-func newService(spec tiller.Service, c catalog) *service {
-	sv := &service{spec: spec, indexes: make(map[string]int)}
+// upstreamsOf returns the upstreams that hold a shard of any snapshot of a service,
+// in the order in which it names them.
+func (c catalog) upstreamsOf(spec tiller.Service) []tiller.Upstream {
+	var found []tiller.Upstream
+	seen := make(map[string]struct{})
 	for _, n := range spec.Snapshots {
 		for _, sh := range n.Shards {
 			for _, name := range sh.Upstreams {
-				sv.add(name, c)
+				if _, ok := seen[name]; ok {
+					continue
+				}
+				seen[name] = struct{}{}
+				if u, ok := c.upstreams[name]; ok {
+					found = append(found, u)
+				}
 			}
 		}
 	}
-	return sv
-}
-
-func (sv *service) add(name string, c catalog) {
-	if _, ok := sv.indexes[name]; ok {
-		return
-	}
-	u, ok := c.upstreams[name]
-	if !ok {
-		return
-	}
-	sv.indexes[name] = len(sv.upstreams)
-	sv.upstreams = append(sv.upstreams, u)
-	sv.outs = append(sv.outs, c.domains[u.Domain].Out)
+	return found
 }
 
 // adoptAll brings every unit in line with the document. A unit that the document no longer has
@@ -137,7 +131,7 @@
 	if ok {
 		return m
 	}
-	up := s.upstream(name, u.service)
+	up := s.upstream(name)
 	m = &member{unit: u, upstream: up, limit: limiter.New(0, 0), attempts: make(map[tiller.AttemptID]struct{})}
 	m.resumeTimer = timer{kind: timerResume, member: m}
 	m.quotaTimer = timer{kind: timerQuota, member: m}
@@ -147,20 +141,31 @@
 	return m
 }
 
-// upstream returns what is known of an upstream that a service names.
-func (s *State) upstream(name string, sv *service) *upstream {
+// upstream returns what is known of an upstream, which it begins to keep when it is new.
+func (s *State) upstream(name string) *upstream {
 	u, ok := s.upstreams[name]
 	if ok {
 		return u
 	}
 	u = &upstream{spec: tiller.Upstream{Name: name}, lostAt: -1}
 	s.upstreams[name] = u
-	if i, ok := sv.indexes[name]; ok {
-		u.spec, u.out, u.listed = sv.upstreams[i], sv.outs[i], true
+	if spec, ok := s.catalog.upstreams[name]; ok {
+		u.spec, u.listed = spec, true
+		u.out = s.catalog.domains[spec.Domain].Out
 	}
 	return u
 }
 
+// listed returns what is known of an upstream of the document in force. A sign may come
+// before the first attempt.
+func (s *State) listed(name string) (*upstream, bool) {
+	if _, ok := s.catalog.upstreams[name]; !ok {
+		u, ok := s.upstreams[name]
+		return u, ok
+	}
+	return s.upstream(name), true
+}
+
 // setQuota gives a member its part of the upstream's slots. A smaller quota holds at once, a larger one
 // when every daemon has the revision, unless nobody else has a part of the upstream.
 func (s *State) setQuota(m *member, spec tiller.Upstream) {
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -160,15 +160,19 @@
 
 func (s *sim) after(d tiller.Millis, do func()) { s.at(s.now+d, do) }
 
-// run runs until the given time or until nothing is left to do.
+// run runs until the given time and fails on any fault.
 func (s *sim) run(until tiller.Millis) {
+	s.runAgenda(until)
+	require.Empty(s.t, s.inspect.faults)
+}
+
+func (s *sim) runAgenda(until tiller.Millis) {
 	for len(s.agenda) > 0 && s.agenda[0].at <= until {
 		e := heap.Pop(&s.agenda).(entry)
 		s.now = e.at
 		e.do()
 	}
 	s.now = max(s.now, until)
-	require.Empty(s.t, s.inspect.faults)
 }
 
 // load sends queries made by q at exponentially distributed intervals, for a length of time.
--- a/reducer/inspector_test.go
+++ b/reducer/inspector_test.go
@@ -21,9 +21,10 @@
 	inFlight map[string]int
 	attempts map[tiller.AttemptID]*sent
 	asked    map[uint64]*asked
-	byID     map[tiller.RequestID][]*sent
-	tokens   map[string]int
-	outcomes map[string]tiller.Result
+	// bySubject holds the attempts by the token of their request, or by its identifier without one.
+	bySubject map[string][]*sent
+	subjects  map[tiller.RequestID]string
+	outcomes  map[string]tiller.Result
 }
 
 // sent is an attempt that the reducer sent.
@@ -39,14 +40,13 @@
 type asked struct {
 	event   reducer.QueryArrived
 	replied bool
-	order   int
 }
 
 func newInspector() *inspector {
 	return &inspector{
 		draining: map[string]bool{}, cold: map[string]bool{}, inFlight: map[string]int{},
 		attempts: map[tiller.AttemptID]*sent{}, asked: map[uint64]*asked{},
-		byID: map[tiller.RequestID][]*sent{}, tokens: map[string]int{}, outcomes: map[string]tiller.Result{},
+		bySubject: map[string][]*sent{}, subjects: map[tiller.RequestID]string{}, outcomes: map[string]tiller.Result{},
 	}
 }
 
@@ -71,7 +71,12 @@
 func (in *inspector) seeEvent(s *sim, e reducer.Event) {
 	switch e := e.(type) {
 	case reducer.QueryArrived:
-		in.asked[e.Ref] = &asked{event: e, order: s.steps}
+		in.asked[e.Ref] = &asked{event: e}
+		subject := e.Query.Token
+		if e.Query.Repeatable || subject == "" {
+			subject = string(e.Query.ID)
+		}
+		in.subjects[e.Query.ID] = subject
 	case reducer.ResponseArrived:
 		a := in.attempts[e.Attempt]
 		if a != nil && a.effect.Request.ID == e.Response.ID && a.effect.Request.Snapshot == e.Response.Snapshot && e.Response.Attempt == e.Attempt {
@@ -146,7 +151,8 @@
 	}
 	a := &sent{effect: e}
 	in.attempts[e.Request.Attempt] = a
-	in.byID[e.Request.ID] = append(in.byID[e.Request.ID], a)
+	subject := in.subjects[e.Request.ID]
+	in.bySubject[subject] = append(in.bySubject[subject], a)
 }
 
 func (in *inspector) seeReply(e reducer.Reply) {
@@ -175,7 +181,7 @@
 	if r.Verdict != tiller.NotRun {
 		return
 	}
-	for _, a := range in.byID[r.ID] {
+	for _, a := range in.bySubject[in.subjects[q.event.Query.ID]] {
 		if !a.ended || a.verdict != tiller.NotRun {
 			in.fault("verdict: %s is refused NotRun but may have run", r.ID)
 			return
@@ -186,7 +192,7 @@
 // checkAnswer compares an answer with the responses delivered for its snapshot.
 func (in *inspector) checkAnswer(answer tiller.Answer) {
 	first := map[string]*sent{}
-	for _, a := range in.byID[answer.ID] {
+	for _, a := range in.bySubject[in.subjects[answer.ID]] {
 		if a.response == nil || a.effect.Request.Snapshot != answer.Snapshot {
 			continue
 		}
@@ -241,17 +247,12 @@
 	runs := map[string]int{}
 	for _, u := range s.upstreams {
 		for id, n := range u.runs {
-			for _, q := range in.asked {
-				if q.event.Query.ID == id && q.event.Query.Token != "" {
-					runs[q.event.Query.Token] += n
-					break
-				}
-			}
+			runs[in.subjects[id]] += n
 		}
 	}
-	for token, n := range runs {
-		if n > 1 {
-			in.fault("token: %s ran %d times", token, n)
+	for _, q := range in.asked {
+		if n := runs[q.event.Query.Token]; q.event.Query.Token != "" && n > 1 {
+			in.fault("token: %s ran %d times", q.event.Query.Token, n)
 		}
 	}
 }
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -27,6 +27,7 @@
 	stopped     bool
 
 	document  *tiller.Document
+	catalog   catalog
 	epoch     uint64
 	voters    map[tracker.UnitID]voterSet
 	services  map[string]*service
--- a/reducer/unit.go
+++ b/reducer/unit.go
@@ -147,7 +147,7 @@
 	s.disarm(&m.quotaTimer)
 	up := m.upstream
 	up.members = slices.DeleteFunc(up.members, func(other *member) bool { return other == m })
-	if len(up.members) == 0 {
+	if len(up.members) == 0 && !up.listed {
 		delete(s.upstreams, up.spec.Name)
 	}
 }
--- a/reducer/upstream.go
+++ b/reducer/upstream.go
@@ -42,7 +42,7 @@
 
 // onRestarted takes a refused or reset connection as a sign that the upstream is cold.
 func (s *State) onRestarted(e UpstreamRestarted) {
-	u, ok := s.upstreams[e.Upstream]
+	u, ok := s.listed(e.Upstream)
 	if !ok {
 		return
 	}
@@ -84,7 +84,7 @@
 
 // onLoad takes a load report, which can only lower what an upstream gets.
 func (s *State) onLoad(e LoadReported) {
-	u, ok := s.upstreams[e.Upstream]
+	u, ok := s.listed(e.Upstream)
 	if !ok {
 		return
 	}
--- a/reducer/voters.go
+++ b/reducer/voters.go
@@ -14,16 +14,15 @@
 }
 
 // announceUnits tells the lease protocol the units of the document and their voters.
-func (s *State) announceUnits(c catalog) {
+func (s *State) announceUnits() {
 	if s.cfg.SetUnits == nil {
 		return
 	}
 	seats := router.Seats(s.document)
-	regionOf := func(domain string) string { return c.domains[domain].Region }
 	var units []tracker.Unit
 	for _, spec := range s.document.Services {
 		sv := s.services[spec.Name]
-		region := router.HomeRegion(spec, sv.upstreams, regionOf)
+		region := router.HomeRegion(spec, sv.upstreams, s.regionOf)
 		for index := range sv.owners {
 			id := tracker.UnitID{Service: spec.Name, Index: index}
 			units = append(units, tracker.Unit{ID: id, Voters: s.rankVoters(id, region, seats)})
@@ -57,12 +56,7 @@
 }
 
 func (s *State) regionOf(domain string) string {
-	for _, d := range s.document.Domains {
-		if d.Name == domain {
-			return d.Region
-		}
-	}
-	return ""
+	return s.catalog.domains[domain].Region
 }
 
 // onSeat notes the seat of this process.
