--- a/reducer/voters.go
+++ b/reducer/voters.go
@@ -14,16 +14,15 @@
 }
 
 // announceUnits tells the lease protocol the units of the document and their voters.
-func (s *State) announceUnits(c catalog) {
+func (s *State) announceUnits() {
 	if s.cfg.SetUnits == nil {
 		return
 	}
 	roster := router.NewRoster(router.Seats(s.document))
-	regionOf := func(domain string) string { return c.domains[domain].Region }
 	var units []tracker.Unit
 	for _, spec := range s.document.Services {
 		sv := s.services[spec.Name]
-		region := router.HomeRegion(spec, sv.upstreams, regionOf)
+		region := router.HomeRegion(spec, sv.upstreams, s.regionOf)
 		for index := range sv.owners {
 			id := tracker.UnitID{Service: spec.Name, Index: index}
 			units = append(units, tracker.Unit{ID: id, Voters: s.rankVoters(id, region, roster)})
@@ -57,12 +56,7 @@
 }
 
 func (s *State) regionOf(domain string) string {
-	for _, d := range s.document.Domains {
-		if d.Name == domain {
-			return d.Region
-		}
-	}
-	return ""
+	return s.catalog.domains[domain].Region
 }
 
 // onSeat notes the seat of this process.
@@ -83,7 +77,7 @@
 	return s.seat, s.seat != unknownSeat
 }
 
-// tokenHolder says whether this process has the seat and incarnation that a token names.
+// isSelf says whether this process holds a seat.
 func (s *State) isSelf(seat int) bool {
 	own, ok := s.ownSeat()
 	return ok && own == seat
