--- /dev/null
+++ b/cmd/tillerload/injector/doc.go
@@ -0,0 +1,2 @@
+// Package injector brings one fault about in an embedded fleet and takes it back.
+package injector
--- a/demonstrator/exchange.go
+++ b/demonstrator/exchange.go
@@ -27,7 +27,12 @@
 			if peer == nil {
 				return tiller.Result{}, tiller.NewFailure(tiller.NotRun, tiller.ReasonOwnerLost, nil)
 			}
-			return peer.Submit(ctx, f.Query, seat, f.Redirects), nil
+			result := peer.Submit(ctx, f.Query, seat, f.Redirects)
+			if x.get(f.Seat) != peer {
+				// The peer was killed meanwhile; its reply would not have arrived.
+				return tiller.Result{}, tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonOwnerLost, nil)
+			}
+			return result, nil
 		},
 		SendLease: func(e reducer.SendLease) {
 			if peer := x.get(e.To); peer != nil {
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -142,6 +142,13 @@
 	return err
 }
 
+// KillDaemon ends the daemon of a seat at once, as a crash of its process would: its peers get no more replies.
+func (f *Fleet) KillDaemon(seat int) {
+	f.exchange.set(seat, nil)
+	f.Daemons[seat].Close()
+	f.Daemons[seat] = nil
+}
+
 // Stop stops every daemon as planned, all at the same time, and then the fakes.
 func (f *Fleet) Stop(ctx context.Context) error {
 	errs := make([]error, len(f.Daemons))
--- a/faker/search.go
+++ b/faker/search.go
@@ -53,6 +53,10 @@
 		u.counts.Drained++
 		return searchError(upstream.SearchErrorReasonDraining, false, "the upstream is draining")
 	}
+	if u.faults.Shed {
+		u.counts.Shed++
+		return shedError()
+	}
 	held := u.catalog[[2]string{req.Service, req.Snapshot}]
 	if held == nil {
 		return searchError(upstream.SearchErrorReasonNoSnapshot, false, "snapshot "+req.Snapshot+" is not served")
@@ -72,6 +76,7 @@
 	}
 	u.mu.Lock()
 	turn, ok := l.slots.take()
+	u.noteOutstanding(l, ok)
 	u.mu.Unlock()
 	if !ok {
 		return nil, errShed
--- a/faker/searcherror.go
+++ b/faker/searcherror.go
@@ -20,9 +20,7 @@
 	switch {
 	case errors.Is(err, errShed):
 		u.counts.Shed++
-		answer := searchError(upstream.SearchErrorReasonShed, false, err.Error())
-		answer.Response.RetryAfterMillis = upstream.NewOptInt64(retryAfterMillis)
-		return answer, nil
+		return shedError(), nil
 	case errors.Is(err, errDeadline):
 		u.counts.TimedOut++
 		return searchError(upstream.SearchErrorReasonTimeout, ran, err.Error()), nil
@@ -39,6 +37,13 @@
 	return searchError(upstream.SearchErrorReasonUpstreamError, ran, err.Error()), nil
 }
 
+// shedError returns the answer to a request that is shed.
+func shedError() *upstream.SearchErrorStatusCode {
+	answer := searchError(upstream.SearchErrorReasonShed, false, errShed.Error())
+	answer.Response.RetryAfterMillis = upstream.NewOptInt64(retryAfterMillis)
+	return answer
+}
+
 // searchStatus maps the reasons of an upstream to their HTTP status.
 var searchStatus = map[upstream.SearchErrorReason]int{
 	upstream.SearchErrorReasonShed:          http.StatusServiceUnavailable,
--- a/faker/upstream.go
+++ b/faker/upstream.go
@@ -233,6 +233,16 @@
 	}, nil
 }
 
+// noteOutstanding counts the requests that run or wait after one arrived, which may have been shed.
+// The caller holds the lock.
+func (u *Upstream) noteOutstanding(l *life, accepted bool) {
+	n := l.slots.running + len(l.slots.queue)
+	if !accepted {
+		n++
+	}
+	u.counts.GreatestOutstanding = max(u.counts.GreatestOutstanding, n)
+}
+
 // noteLoad adds the present load to its history. The caller holds the lock.
 func (u *Upstream) noteLoad() {
 	running := u.life.slots.running
--- a/faker/upstream_test.go
+++ b/faker/upstream_test.go
@@ -98,6 +98,7 @@
 	require.Equal(t, map[string]int{"": 5, "Shed": 4}, ends)
 	counts := u.Counts()
 	require.Equal(t, 2, counts.GreatestInFlight)
+	require.Equal(t, 6, counts.GreatestOutstanding, "2 run, 3 wait, and one that was shed came on top")
 	require.Equal(t, 5, counts.Run)
 	require.Equal(t, 4, counts.Shed)
 	require.Equal(t, 0, counts.InFlight)
@@ -238,6 +239,7 @@
 	}{
 		{"none", faker.UpstreamFaults{}, "", false, false},
 		{"draining", faker.UpstreamFaults{Draining: true}, upstream.SearchErrorReasonDraining, false, false},
+		{"shed", faker.UpstreamFaults{Shed: true}, upstream.SearchErrorReasonShed, false, false},
 		{"fail", faker.UpstreamFaults{Fail: 1}, upstream.SearchErrorReasonUpstreamError, true, false},
 		{"fail on this route", faker.UpstreamFaults{Routes: map[string]faker.RouteFaults{"search": {Fail: 1}}}, upstream.SearchErrorReasonUpstreamError, true, false},
 		{"fail on another route", faker.UpstreamFaults{Routes: map[string]faker.RouteFaults{"print": {Fail: 1}}}, "", false, false},
--- a/faker/upstreamcount.go
+++ b/faker/upstreamcount.go
@@ -29,6 +29,9 @@
 	Waiting int
 	// GreatestInFlight is the greatest number of requests that ran at once.
 	GreatestInFlight int
+	// GreatestOutstanding is the greatest number of requests that ran or waited at once, with the one that was
+	// shed because slots and queue were full.
+	GreatestOutstanding int
 	// GreatestColdInFlight is the greatest number of requests started in cold start that ran at once,
 	// with the one that was not borne.
 	GreatestColdInFlight int
--- a/faker/upstreamfault.go
+++ b/faker/upstreamfault.go
@@ -11,6 +11,8 @@
 type UpstreamFaults struct {
 	// Draining refuses new requests with reason Draining; requests that wait or run go on.
 	Draining bool
+	// Shed refuses new requests with reason Shed, as if slots and queue were full.
+	Shed bool
 	// Unhealthy makes the health endpoint say so, whatever the state. Without it the endpoint says healthy.
 	Unhealthy bool
 	// Silent, when it changes from false to true, stops every byte in both directions on the connections
