--- a/cmd/tillerload/conductor/conductor.go
+++ b/cmd/tillerload/conductor/conductor.go
@@ -129,8 +129,11 @@
 	})
 	s := sender.Sender{Next: c.planner.Next, Ask: c.ask}
 	s.Run(ctx, start, c.cfg.length())
-	c.stages.length = min(time.Since(start), c.cfg.length())
 	err := context.Cause(ctx)
+	c.stages.length = c.cfg.length()
+	if err != nil {
+		c.stages.length = min(time.Since(start), c.cfg.length())
+	}
 	cancel(nil)
 	tasks.Wait()
 	if err != nil && !errors.Is(err, context.Canceled) {
--- a/cmd/tillerload/conductor/stage.go
+++ b/cmd/tillerload/conductor/stage.go
@@ -53,7 +53,9 @@
 	}
 	add(stageBefore, cfg.WarmUp)
 	add(stageDuring, from)
-	add(stageAfter, to)
+	if to < cfg.length() {
+		add(stageAfter, to)
+	}
 	return s
 }
 
--- a/cmd/tillerload/embedder/fleet.go
+++ b/cmd/tillerload/embedder/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,9 +34,11 @@
 	Service time.Duration
 }
 
-// Fleet is a fleet of daemons and fakes. The methods that change it must not be called concurrently.
+// Fleet is a fleet of daemons and fakes. Its methods may be called from any goroutine, but for those that
+// change it, which must not be called concurrently with each other.
 type Fleet struct {
 	fleet *demonstrator.Fleet
+	doc   atomic.Pointer[tiller.Document]
 	// Rotation has the daemons that are ready.
 	Rotation *sender.Rotation
 	// settings are those of the fakes by name.
@@ -65,6 +68,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "embedded fleet")
 	}
+	f.doc.Store(f.fleet.Document)
 	f.incarnations = make([]int64, len(f.fleet.Daemons))
 	f.addresses = make([]string, len(f.fleet.Daemons))
 	for seat := range f.fleet.Daemons {
@@ -81,7 +85,7 @@
 }
 
 // Document returns the document in force.
-func (f *Fleet) Document() *tiller.Document { return f.fleet.Document }
+func (f *Fleet) Document() *tiller.Document { return f.doc.Load() }
 
 // Platform returns the fake platform.
 func (f *Fleet) Platform() *faker.Platform { return f.fleet.Platform }
@@ -89,7 +93,7 @@
 // Upstreams returns the fake upstreams of a failure domain by name; an empty domain means all.
 func (f *Fleet) Upstreams(domain string) map[string]*faker.Upstream {
 	found := map[string]*faker.Upstream{}
-	for _, u := range f.fleet.Document.Upstreams {
+	for _, u := range f.Document().Upstreams {
 		if domain == "" || u.Domain == domain {
 			found[u.Name] = f.fleet.Upstreams[u.Name]
 		}
@@ -102,11 +106,12 @@
 
 // Apply puts a document with the next revision in force at every daemon.
 func (f *Fleet) Apply(change func(*tiller.Document)) error {
-	doc := *f.fleet.Document
+	doc := *f.Document()
 	doc.Domains = append([]tiller.Domain(nil), doc.Domains...)
 	doc.Revision++
 	change(&doc)
 	f.fleet.Document = &doc
+	f.doc.Store(&doc)
 	var tasks sync.WaitGroup
 	errs := make([]error, len(f.fleet.Daemons))
 	for seat, d := range f.fleet.Daemons {
--- a/cmd/tillerload/inspector/violation.go
+++ b/cmd/tillerload/inspector/violation.go
@@ -102,5 +102,5 @@
 func (l *Log) First() []Violation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]Violation(nil), l.first...)
+	return append([]Violation{}, l.first...)
 }
--- a/cmd/tillerload/reporter/figures.go
+++ b/cmd/tillerload/reporter/figures.go
@@ -126,7 +126,9 @@
 		SendLagP99Millis:  millis(f.lag.ValueAtQuantile(99)),
 		Coverage:          Coverage{WholeShare: ratio(f.whole, f.answers), Mean: f.coverage / max(float64(f.answers), 1)},
 		Load:              newLoad(c, f.leastSent),
+		Refusals:          []RefusalCount{},
 		Lost:              f.lost,
+		Kinds:             []KindPart{},
 	}
 	for key, n := range f.refusals {
 		p.Refusals = append(p.Refusals, RefusalCount{Verdict: key.verdict, Reason: key.reason, Count: n})
--- a/cmd/tillerload/sender/sender.go
+++ b/cmd/tillerload/sender/sender.go
@@ -16,14 +16,15 @@
 	Ask func(ctx context.Context, r planner.Request, intended time.Time)
 }
 
-// Run sends the queries that start before length, counted from start, and waits for their outcomes.
-// When ctx ends, no further query is sent.
+// Run sends the queries that start before length, counted from start, and waits for the end of that time
+// and for their outcomes. When ctx ends, no further query is sent.
 func (s *Sender) Run(ctx context.Context, start time.Time, length time.Duration) {
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	for {
 		r := s.Next()
 		if r.At >= length {
+			sleepUntil(ctx, start.Add(length))
 			return
 		}
 		intended := start.Add(r.At)
