End the pools of removed upstreams, and steady a test

A pool of a removed upstream went on polling for load until the daemon ended. The test now waits until the losses are noticed.

--- a/assembler/failure_test.go
+++ b/assembler/failure_test.go
@@ -48,6 +48,10 @@
 		before += u.Counts().Run
 		u.Close()
 	}
+	// A request that is written before the daemon notices may have run, and is refused as such.
+	require.Eventually(t, func() bool {
+		return f.Daemons[0].Metrics().Value("connection_lost", tiller.ReasonConnectionLost) == shardCount
+	}, patience, time.Millisecond)
 	q := query("none", `"warm"`)
 	q.DeadlineMillis = 300
 	refusal := refused(t, f.Daemons[0], q)
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -63,7 +63,7 @@
 		}
 	}
 	for _, p := range d.removeOthers(named) {
-		p.retireAll()
+		p.retire()
 	}
 }
 
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -238,6 +238,15 @@
 	p.broadcast()
 }
 
+// retire ends the pool: it opens no connection any more, and closes each when it has no request.
+func (p *pool) retire() {
+	p.mu.Lock()
+	p.isClosed = true
+	p.mu.Unlock()
+	p.retireAll()
+	p.broadcast()
+}
+
 // retireAll closes each connection as soon as it has no request.
 func (p *pool) retireAll() {
 	p.mu.Lock()
