Carry messages between daemons over QUIC

Cause: daemons forward queries to owners and exchange lease messages, and must authenticate each other, notice silent connections and bound what they hold. Change: one stream per forwarded query, lease messages batched per peer, connections shared by both directions with a bound and idle closing, keys that are read again when files change.

--- /dev/null
+++ b/messenger/codec.go
@@ -0,0 +1,90 @@
+package messenger
+
+import (
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+)
+
+// Bounds of the decoder. A message of MaxMessageBytes could otherwise claim a million
+// items of a few bytes each, which take far more memory than the message.
+const (
+	maxArrayElements = 1 << 16
+	maxMapPairs      = 1 << 10
+	maxNestedLevels  = 16
+)
+
+var (
+	errTooLarge = errors.New("message exceeds 1 MiB")
+	errVersion  = errors.New("unknown message version")
+	errEmpty    = errors.New("empty message")
+
+	encoder = newEncoder()
+	decoder = newDecoder()
+)
+
+func newEncoder() cbor.EncMode {
+	mode, err := cbor.EncOptions{IndefLength: cbor.IndefLengthForbidden}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		MaxArrayElements:  maxArrayElements,
+		MaxMapPairs:       maxMapPairs,
+		MaxNestedLevels:   maxNestedLevels,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// encode returns a message with its version byte, or errTooLarge.
+func encode(v any) ([]byte, error) {
+	b, err := encoder.Marshal(v)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode message")
+	}
+	if len(b)+1 > MaxMessageBytes {
+		return nil, errTooLarge
+	}
+	return append([]byte{Version}, b...), nil
+}
+
+// decode reads a message with its version byte into v.
+func decode(b []byte, v any) error {
+	if len(b) == 0 {
+		return errEmpty
+	}
+	if len(b) > MaxMessageBytes {
+		return errTooLarge
+	}
+	if b[0] != Version {
+		return errVersion
+	}
+	if err := decoder.Unmarshal(b[1:], v); err != nil {
+		return errors.Wrap(err, "decode message")
+	}
+	return nil
+}
+
+// readMessage reads a stream to its end, or returns errTooLarge.
+func readMessage(r io.Reader) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, MaxMessageBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read message")
+	}
+	if len(b) > MaxMessageBytes {
+		return nil, errTooLarge
+	}
+	return b, nil
+}
--- /dev/null
+++ b/messenger/keys.go
@@ -0,0 +1,141 @@
+package messenger
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/carawaytiller/carawaytiller/issuer"
+)
+
+// protocolName identifies the protocol in the TLS handshake.
+const protocolName = "carawaytiller/1"
+
+// KeyFiles names the PEM files of a daemon's identity.
+type KeyFiles struct {
+	// Authority holds the certificates of the authorities whose daemons are peers.
+	Authority string
+	// Certificate and Key are the daemon's own.
+	Certificate string
+	Key         string
+}
+
+// Keys is a daemon's identity and the authorities that it accepts. Files that change are read again at the
+// next handshake; files that do not fit together leave the keys as they were, because
+// certificate and key are seldom replaced in one step.
+type Keys struct {
+	files KeyFiles
+
+	mu      sync.Mutex
+	stamps  [3]fileStamp
+	loaded  tls.Certificate
+	roots   *x509.CertPool
+	problem error
+}
+
+// fileStamp tells versions of a file apart.
+type fileStamp struct {
+	changed time.Time
+	size    int64
+}
+
+// LoadKeys reads the files, and returns an error when they are missing or do not fit together.
+func LoadKeys(files KeyFiles) (*Keys, error) {
+	k := &Keys{files: files}
+	if err := k.refresh(); err != nil {
+		return nil, err
+	}
+	return k, nil
+}
+
+// Expires returns the end of the validity of the daemon's certificate.
+func (k *Keys) Expires() time.Time {
+	_ = k.refresh()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.loaded.Leaf.NotAfter
+}
+
+// Problem returns why the files could not be loaded when they changed last; nil when they were.
+func (k *Keys) Problem() error {
+	return k.refresh()
+}
+
+// refresh reads the files when they have changed since the last time.
+func (k *Keys) refresh() error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var stamps [3]fileStamp
+	for i, name := range []string{k.files.Authority, k.files.Certificate, k.files.Key} {
+		info, err := os.Stat(name)
+		if err != nil {
+			k.problem = errors.Wrap(err, "load keys")
+			return k.problem
+		}
+		stamps[i] = fileStamp{changed: info.ModTime(), size: info.Size()}
+	}
+	if stamps == k.stamps {
+		return k.problem
+	}
+	cert, roots, err := load(k.files)
+	k.stamps, k.problem = stamps, err
+	if err == nil {
+		k.loaded, k.roots = cert, roots
+	}
+	return err
+}
+
+func load(files KeyFiles) (tls.Certificate, *x509.CertPool, error) {
+	authority, err := os.ReadFile(files.Authority)
+	if err != nil {
+		return tls.Certificate{}, nil, errors.Wrap(err, "load authority")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(authority) {
+		return tls.Certificate{}, nil, errors.Errorf("load authority: no certificate in %s", files.Authority)
+	}
+	cert, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	if err != nil {
+		return tls.Certificate{}, nil, errors.Wrap(err, "load certificate")
+	}
+	for _, usage := range []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth} {
+		options := x509.VerifyOptions{Roots: roots, DNSName: issuer.ServerName, KeyUsages: []x509.ExtKeyUsage{usage}}
+		if _, err := cert.Leaf.Verify(options); err != nil {
+			return tls.Certificate{}, nil, errors.Wrap(err, "verify certificate")
+		}
+	}
+	return cert, roots, nil
+}
+
+// config returns the TLS configuration of one handshake, for either end. It has no session
+// tickets, because a resumed session would not check the peer's certificate against the present authorities.
+func (k *Keys) config() *tls.Config {
+	_ = k.refresh()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		NextProtos:             []string{protocolName},
+		ServerName:             issuer.ServerName,
+		Certificates:           []tls.Certificate{k.loaded},
+		RootCAs:                k.roots,
+		ClientCAs:              k.roots,
+		ClientAuth:             tls.RequireAndVerifyClientCert,
+		SessionTicketsDisabled: true,
+	}
+}
+
+// listenConfig returns a configuration that asks for the present keys at each handshake.
+func (k *Keys) listenConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{protocolName},
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return k.config(), nil
+		},
+	}
+}
--- /dev/null
+++ b/messenger/messenger.go
@@ -0,0 +1,202 @@
+package messenger
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/quic-go/quic-go"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/singleflight"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/tracker"
+)
+
+// Times of the connections, in milliseconds.
+const (
+	// SilentMillis is the time without a packet after which a connection is closed. A renewal 900 ms after
+	// the last answered one uses a new connection, before the lease ends.
+	SilentMillis tiller.Millis = 800
+	// KeepAliveMillis is the interval of packets on a connection that carries nothing else. It is longer
+	// than tracker.RenewMillis, so that connections with renewals need none.
+	KeepAliveMillis tiller.Millis = 350
+	// DialMillis is the longest time for opening a connection.
+	DialMillis tiller.Millis = 1000
+	// DefaultIdleMillis is the time without messages after which a connection is closed.
+	DefaultIdleMillis tiller.Millis = 5000
+	// LingerMillis is how long the first lease message to a peer waits for others.
+	LingerMillis tiller.Millis = 1
+	// FlushMillis is how long Flush waits for packets on their way; it allows for one retransmission.
+	FlushMillis tiller.Millis = 100
+	// transferMillis is the longest time for sending or receiving a message without a reply.
+	transferMillis tiller.Millis = 2000
+)
+
+// Bounds of what a daemon holds for its peers.
+const (
+	// DefaultMaxConnections is the greatest number of open connections.
+	DefaultMaxConnections = 256
+	// MaxQueuedLeases is the greatest number of lease messages that wait for one peer; the oldest are dropped.
+	MaxQueuedLeases = 256
+	// maxNotices is the greatest number of other messages that are being sent.
+	maxNotices = 64
+	// maxStreams is the greatest number of streams of one kind that a peer has open on a connection.
+	maxStreams = 1000
+)
+
+// Names of the counters.
+const (
+	countSent         = "messenger.sent"
+	countReceived     = "messenger.received"
+	countUndecodable  = "messenger.dropped.undecodable"
+	countTooLarge     = "messenger.dropped.tooLarge"
+	countMisaddressed = "messenger.dropped.misaddressed"
+	countUnsent       = "messenger.dropped.unsent"
+	countMismatched   = "messenger.dropped.mismatched"
+	countDialled      = "messenger.connections.dialled"
+	countDialFailed   = "messenger.connections.dialFailed"
+	countEvicted      = "messenger.connections.evicted"
+	countRefused      = "messenger.connections.refused"
+)
+
+// Config is what a Messenger works with. Handlers that are nil drop their messages. Handlers are
+// called concurrently, and the ones other than OnForward must return soon.
+type Config struct {
+	// Conn is the socket for all connections. The Messenger closes it.
+	Conn  net.PacketConn
+	Keys  *Keys
+	Clock tiller.Clock
+	// Seat returns the seat that this process holds; -1 when it holds none yet.
+	Seat func() int
+	// AddressOf returns the UDP address of the daemon that holds a seat.
+	AddressOf func(seat int) (string, bool)
+	// OnForward runs a query for a peer. The context ends when the peer no longer waits.
+	OnForward func(ctx context.Context, from int, f Forward) tiller.Result
+	OnLease   func(from int, m tracker.Message)
+	OnLeaving func(from int, l Leaving)
+	OnDigest  func(from int, d RevisionDigest)
+	OnPush    func(from int, p RevisionPush)
+	// Metrics gets the counters; nil means a registry of its own.
+	Metrics metrics.Registry
+	Log     logr.Logger
+	// MaxConnections is the greatest number of open connections; 0 means DefaultMaxConnections.
+	MaxConnections int
+	// IdleMillis is the time without messages after which a connection is closed; 0 means DefaultIdleMillis.
+	IdleMillis tiller.Millis
+}
+
+// Messenger exchanges messages with other daemons. It is safe for concurrent use.
+type Messenger struct {
+	cfg       Config
+	ctx       context.Context
+	cancel    context.CancelFunc
+	transport *quic.Transport
+	listener  *quic.Listener
+	links     *linkTable
+	dials     singleflight.Group
+	notices   chan struct{}
+
+	mu     sync.Mutex
+	closed bool
+	once   sync.Once
+	queues map[int][]tracker.Message
+	work   sync.WaitGroup
+}
+
+// New returns a Messenger that accepts connections on cfg.Conn.
+func New(cfg Config) (*Messenger, error) {
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	if cfg.MaxConnections == 0 {
+		cfg.MaxConnections = DefaultMaxConnections
+	}
+	if cfg.IdleMillis == 0 {
+		cfg.IdleMillis = DefaultIdleMillis
+	}
+	m := &Messenger{
+		cfg:       cfg,
+		transport: &quic.Transport{Conn: cfg.Conn},
+		links:     newLinkTable(cfg.MaxConnections),
+		notices:   make(chan struct{}, maxNotices),
+		queues:    map[int][]tracker.Message{},
+	}
+	listener, err := m.transport.Listen(cfg.Keys.listenConfig(), quicConfig())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	m.listener = listener
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	m.spawn(m.accept)
+	m.spawn(m.closeIdle)
+	return m, nil
+}
+
+// Close ends all connections and returns when no goroutine of the Messenger is left.
+func (m *Messenger) Close() error {
+	var err error
+	m.once.Do(func() {
+		m.mu.Lock()
+		m.closed = true
+		m.mu.Unlock()
+		m.cancel()
+		err = m.listener.Close()
+		m.links.closeAll()
+		err = errors.Join(err, m.transport.Close())
+		m.work.Wait()
+		err = errors.Join(err, m.cfg.Conn.Close())
+	})
+	return err
+}
+
+// Connections returns the number of open connections.
+func (m *Messenger) Connections() int {
+	return m.links.count()
+}
+
+// spawn runs f in a goroutine that Close waits for. It reports false after Close.
+func (m *Messenger) spawn(f func()) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false
+	}
+	m.work.Go(f)
+	return true
+}
+
+func (m *Messenger) count(name string, n int) {
+	metrics.GetOrRegisterCounter(name, m.cfg.Metrics).Inc(int64(n))
+}
+
+// closeIdle closes the connections that carry no messages.
+func (m *Messenger) closeIdle() {
+	ticker := time.NewTicker((m.cfg.IdleMillis / 4).Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-m.ctx.Done():
+			return
+		case <-ticker.C:
+			m.links.closeUnused(m.cfg.Clock.Now() - m.cfg.IdleMillis)
+		}
+	}
+}
+
+// quicConfig leaves out the probes of the path's packet size: most connections of a large
+// fleet carry less than the probes would.
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:  DialMillis.Duration(),
+		MaxIdleTimeout:        SilentMillis.Duration(),
+		KeepAlivePeriod:       KeepAliveMillis.Duration(),
+		MaxIncomingStreams:    maxStreams,
+		MaxIncomingUniStreams: maxStreams,
+
+		DisablePathMTUDiscovery: true,
+	}
+}
--- /dev/null
+++ b/messenger/send.go
@@ -0,0 +1,152 @@
+package messenger
+
+import (
+	"context"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/carawaytiller/carawaytiller/tracker"
+)
+
+// SendLease sends a message of the lease protocol to a seat, together with others to the same seat. It does
+// not wait; a message that cannot be sent is counted and dropped, as the protocol expects of a network.
+func (m *Messenger) SendLease(to int, lease tracker.Message) {
+	m.mu.Lock()
+	queue, sending := m.queues[to]
+	if len(queue) >= MaxQueuedLeases {
+		queue = queue[1:]
+		m.count(countUnsent, 1)
+	}
+	m.queues[to] = append(queue, lease)
+	m.mu.Unlock()
+	if !sending {
+		m.spawn(func() { m.sendLeases(to) })
+	}
+}
+
+// sendLeases sends what is queued for a seat until nothing is left.
+func (m *Messenger) sendLeases(to int) {
+	for {
+		linger := time.NewTimer(LingerMillis.Duration())
+		select {
+		case <-m.ctx.Done():
+			linger.Stop()
+			return
+		case <-linger.C:
+		}
+		leases := m.takeLeases(to)
+		if len(leases) == 0 {
+			return
+		}
+		m.send(to, notice{Leases: leases})
+	}
+}
+
+// takeLeases empties the queue of a seat, and removes it when it was empty.
+func (m *Messenger) takeLeases(to int) []tracker.Message {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	leases := m.queues[to]
+	if len(leases) == 0 {
+		delete(m.queues, to)
+		return nil
+	}
+	m.queues[to] = nil
+	return leases
+}
+
+// SendLeaving tells a seat that this daemon is about to stop. It does not wait.
+func (m *Messenger) SendLeaving(to int, l Leaving) {
+	m.sendSoon(to, notice{Leaving: &l})
+}
+
+// SendDigest tells a seat which revisions this daemon has. It does not wait.
+func (m *Messenger) SendDigest(to int, d RevisionDigest) {
+	m.sendSoon(to, notice{Digest: &d})
+}
+
+// SendPush sends a revision to a seat. It does not wait.
+func (m *Messenger) SendPush(to int, p RevisionPush) {
+	m.sendSoon(to, notice{Push: &p})
+}
+
+// sendSoon sends a message in the background, or drops and counts it when too many are under way.
+func (m *Messenger) sendSoon(to int, n notice) {
+	select {
+	case m.notices <- struct{}{}:
+	default:
+		m.count(countUnsent, 1)
+		return
+	}
+	sending := m.spawn(func() {
+		defer func() { <-m.notices }()
+		m.send(to, n)
+	})
+	if !sending {
+		<-m.notices
+	}
+}
+
+// send sends a message without a reply.
+func (m *Messenger) send(to int, n notice) {
+	n.From, n.To = m.cfg.Seat(), to
+	if err := m.trySend(to, n); err != nil {
+		m.count(countUnsent, max(1, len(n.Leases)))
+		m.cfg.Log.V(1).Info("message not sent", "seat", to, "cause", err.Error())
+		return
+	}
+	m.count(countSent, 1)
+}
+
+func (m *Messenger) trySend(to int, n notice) error {
+	b, err := encode(n)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, transferMillis.Duration())
+	defer cancel()
+	var stream *quic.SendStream
+	l, err := m.open(ctx, to, func(conn *quic.Conn) (err error) {
+		stream, err = conn.OpenUniStreamSync(ctx)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { m.links.done(l, m.cfg.Clock.Now()) }()
+	_ = stream.SetWriteDeadline(time.Now().Add(transferMillis.Duration()))
+	if _, err := stream.Write(b); err != nil {
+		stream.CancelWrite(codeCancelled)
+		return err
+	}
+	return stream.Close()
+}
+
+// Flush waits until no message without a reply waits or is being written, and FlushMillis longer for
+// the packets on their way. A daemon that stops calls it before Close, which discards what is not delivered.
+func (m *Messenger) Flush(ctx context.Context) error {
+	ticker := time.NewTicker(LingerMillis.Duration())
+	defer ticker.Stop()
+	for m.unsent() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	timer := time.NewTimer(FlushMillis.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+func (m *Messenger) unsent() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.queues) > 0 || len(m.notices) > 0
+}
--- /dev/null
+++ b/messenger/serve.go
@@ -0,0 +1,163 @@
+package messenger
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// Codes with which a stream is cancelled.
+const (
+	codeCancelled quic.StreamErrorCode = iota
+	// codeNotRun says that the message was not understood, so that nothing ran.
+	codeNotRun
+)
+
+// accept takes connections whose handshake is complete, so that the peer's certificate has been verified.
+func (m *Messenger) accept() {
+	for {
+		conn, err := m.listener.Accept(m.ctx)
+		if err != nil {
+			return
+		}
+		if err := m.register(conn); err != nil {
+			m.cfg.Log.V(1).Info("connection refused", "address", conn.RemoteAddr().String(), "cause", err.Error())
+		}
+	}
+}
+
+// serve handles the streams that the peer opens until the connection ends.
+func (m *Messenger) serve(l *link) {
+	defer m.links.remove(l)
+	m.spawn(func() { m.serveNotices(l) })
+	for {
+		stream, err := l.conn.AcceptStream(m.ctx)
+		if err != nil {
+			return
+		}
+		m.spawn(func() { m.serveForward(l, stream) })
+	}
+}
+
+func (m *Messenger) serveNotices(l *link) {
+	for {
+		stream, err := l.conn.AcceptUniStream(m.ctx)
+		if err != nil {
+			return
+		}
+		m.spawn(func() { m.serveNotice(l, stream) })
+	}
+}
+
+func (m *Messenger) serveNotice(l *link, stream *quic.ReceiveStream) {
+	m.links.begin(l, m.cfg.Clock.Now())
+	defer func() { m.links.done(l, m.cfg.Clock.Now()) }()
+	_ = stream.SetReadDeadline(time.Now().Add(transferMillis.Duration()))
+	b, err := readMessage(stream)
+	if err != nil {
+		stream.CancelRead(codeNotRun)
+		m.countUnread(err)
+		return
+	}
+	var n notice
+	if err := decode(b, &n); err != nil {
+		m.count(countUndecodable, 1)
+		return
+	}
+	if n.To != m.cfg.Seat() {
+		m.count(countMisaddressed, 1)
+		return
+	}
+	m.count(countReceived, 1)
+	m.handle(n)
+}
+
+func (m *Messenger) handle(n notice) {
+	if m.cfg.OnLease != nil {
+		for _, lease := range n.Leases {
+			m.cfg.OnLease(n.From, lease)
+		}
+	}
+	if n.Leaving != nil && m.cfg.OnLeaving != nil {
+		m.cfg.OnLeaving(n.From, *n.Leaving)
+	}
+	if n.Digest != nil && m.cfg.OnDigest != nil {
+		m.cfg.OnDigest(n.From, *n.Digest)
+	}
+	if n.Push != nil && m.cfg.OnPush != nil {
+		m.cfg.OnPush(n.From, *n.Push)
+	}
+}
+
+// countUnread counts a message that did not arrive whole, unless the connection or the peer ended it.
+func (m *Messenger) countUnread(err error) {
+	if errors.Is(err, errTooLarge) {
+		m.count(countTooLarge, 1)
+	}
+}
+
+// serveForward runs a peer's query. The stream's context ends when the peer cancels the
+// stream or its connection ends.
+func (m *Messenger) serveForward(l *link, stream *quic.Stream) {
+	m.links.begin(l, m.cfg.Clock.Now())
+	defer func() { m.links.done(l, m.cfg.Clock.Now()) }()
+	_ = stream.SetReadDeadline(time.Now().Add(transferMillis.Duration()))
+	request, err := m.readForward(stream)
+	if err != nil {
+		stream.CancelRead(codeNotRun)
+		stream.CancelWrite(codeNotRun)
+		return
+	}
+	m.count(countReceived, 1)
+	b, err := encode(forwardReply{Result: m.run(stream.Context(), request)})
+	if err != nil {
+		m.count(countTooLarge, 1)
+		stream.CancelWrite(codeCancelled)
+		return
+	}
+	_ = stream.SetWriteDeadline(time.Now().Add(transferMillis.Duration()))
+	if _, err := stream.Write(b); err != nil {
+		stream.CancelWrite(codeCancelled)
+		return
+	}
+	_ = stream.Close()
+}
+
+func (m *Messenger) readForward(stream *quic.Stream) (forwardRequest, error) {
+	var request forwardRequest
+	b, err := readMessage(stream)
+	if err != nil {
+		m.countUnread(err)
+		return request, err
+	}
+	if err := decode(b, &request); err != nil {
+		m.count(countUndecodable, 1)
+		return request, err
+	}
+	return request, nil
+}
+
+// run hands a query to the handler with a deadline on this daemon's clock.
+func (m *Messenger) run(ctx context.Context, request forwardRequest) tiller.Result {
+	if request.To != m.cfg.Seat() {
+		m.count(countMisaddressed, 1)
+		return refusal(request.Query.ID, tiller.ReasonNotOwner)
+	}
+	if m.cfg.OnForward == nil {
+		return refusal(request.Query.ID, tiller.ReasonNotReady)
+	}
+	if request.RemainingMillis <= 0 {
+		return refusal(request.Query.ID, tiller.ReasonDeadlinePast)
+	}
+	remaining := min(request.RemainingMillis, tiller.Hour)
+	query := request.Query.WithDeadline(m.cfg.Clock.Now() + remaining)
+	return m.cfg.OnForward(ctx, request.From, Forward{Query: query, Redirects: request.Redirects})
+}
+
+func refusal(id tiller.RequestID, reason tiller.Reason) tiller.Result {
+	return tiller.Result{Refusal: &tiller.Refusal{ID: id, Verdict: tiller.NotRun, Reason: reason, Owner: -1}}
+}
