Divide queries between the versions of a rollout

Cause: the mover package judged versions, and nothing used it. Change: the owner of a unit deals each query to the old or the new version by the share in force, counts the attempts of both as evidence, bars the new version when a fault shows here or elsewhere, and asks for the final state. Queries of the new version fall back to the old one when it has no room. Facts and final states are not yet carried out by the daemon.

--- a/reducer/attempt.go
+++ b/reducer/attempt.go
@@ -141,6 +141,7 @@
 	}
 	if reason == tiller.ReasonHedgeLost {
 		s.measureOf(q).attempts.Record(s.now, age)
+		s.sample(a, age, false)
 	}
 	a.member.limit = a.member.limit.WithEnded()
 	s.end(id, a)
--- a/reducer/count.go
+++ b/reducer/count.go
@@ -32,6 +32,8 @@
 	CountBlocked = "digest_blocked"
 	// CountRestart counts signs that an upstream restarted.
 	CountRestart = "upstream_restart"
+	// CountFault counts faults of new versions found here.
+	CountFault = "rollout_fault"
 	// CountStaleDocument counts documents ignored for their revision.
 	CountStaleDocument = "document_stale"
 )
--- a/reducer/dispatch.go
+++ b/reducer/dispatch.go
@@ -60,6 +60,7 @@
 	q.running.tag = tag
 	q.running.warming = s.draw()%warmingShare == 0
 	q.running.probing = s.needsCanary(q)
+	q.running.side = s.sideOf(q.unit)
 	s.pin(q, p)
 	s.placeIdle(q)
 }
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -75,6 +75,20 @@
 	N     int64
 }
 
+// Announce makes a fact known to all daemons. Of two facts with one key, the one with the greater version counts.
+type Announce struct {
+	Key     string
+	Version int64
+	Value   []byte
+}
+
+// FinishMove asks for the final state of a rollout to be written to the stored document.
+type FinishMove struct {
+	Move   string
+	State  tiller.MoveState
+	Detail string
+}
+
 // Stopped says that nothing accepted is left and the daemon may end.
 type Stopped struct{}
 
@@ -87,4 +101,6 @@
 func (SendLease) effect()     {}
 func (Wake) effect()          {}
 func (Count) effect()         {}
+func (Announce) effect()      {}
+func (FinishMove) effect()    {}
 func (Stopped) effect()       {}
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -121,6 +121,14 @@
 	Message LeasePayload
 }
 
+// FactLearned carries a fact that another daemon has announced.
+type FactLearned struct {
+	Stamp
+	Key     string
+	Version int64
+	Value   []byte
+}
+
 // StopRequested says that this daemon is to stop as planned: it finishes what it accepted.
 type StopRequested struct{ Stamp }
 
--- a/reducer/failed.go
+++ b/reducer/failed.go
@@ -26,6 +26,9 @@
 	if e.Verdict != tiller.NotRun {
 		q.mayHaveRun = true
 	}
+	if isVersionFailure(e.Reason) {
+		s.sample(a, s.now-a.sentAt, true)
+	}
 	s.limitAfter(a, e)
 	s.end(id, a)
 	failed := q.lose(id, a, e.Reason)
--- a/reducer/member.go
+++ b/reducer/member.go
@@ -28,8 +28,10 @@
 	unit     *unit
 	upstream *upstream
 	// gone says that the unit no longer uses the upstream.
-	gone  bool
-	limit limiter.Limit
+	gone bool
+	// barred says that a rollout gives the upstream's version no new attempts.
+	barred bool
+	limit  limiter.Limit
 	// open and roomy are as the unit's counts have them.
 	open  bool
 	roomy bool
@@ -57,7 +59,7 @@
 }
 
 // isOpen says whether the unit may send new attempts to the upstream.
-func (m *member) isOpen() bool { return !m.gone && m.upstream.isOpen() }
+func (m *member) isOpen() bool { return !m.gone && !m.barred && m.upstream.isOpen() }
 
 // isSlow says whether other upstreams are preferred because this one has stopped responding.
 func (m *member) isSlow() bool { return m.strikes >= slowStrikes }
--- a/reducer/place.go
+++ b/reducer/place.go
@@ -48,7 +48,7 @@
 		candidate := router.Candidate{
 			Index:    i,
 			Cold:     (m.limit.Cold() || m.isSlow()) && !r.warming,
-			Failed:   r.shards[sh].failed == i || c.domain != "" && m.upstream.spec.Domain == c.domain,
+			Failed:   m.isSecond(r.side) || r.shards[sh].failed == i || c.domain != "" && m.upstream.spec.Domain == c.domain,
 			InFlight: m.limit.InFlight(),
 			Limit:    m.limit.Limit(),
 		}
@@ -60,7 +60,7 @@
 }
 
 func (c *choice) allows(m *member, i int32) bool {
-	if !m.roomy || i == c.avoid || m.lacks(c.query.running.plan.snapshot, c.state.now) {
+	if !m.roomy || !m.admits(c.query.running.side) || i == c.avoid || m.lacks(c.query.running.plan.snapshot, c.state.now) {
 		return false
 	}
 	return !c.suspect || c.isolates(m)
@@ -164,7 +164,7 @@
 	}
 	for _, i := range r.plan.shards[sh].replicas {
 		m := r.plan.members[i]
-		if !r.waits[i] && m.isOpen() {
+		if !r.waits[i] && m.isOpen() && m.admits(r.side) {
 			r.waits[i] = true
 			m.enqueue(wait{query: q, index: i})
 		}
@@ -182,7 +182,7 @@
 			lacking = true
 			continue
 		}
-		open = open || m.isOpen()
+		open = open || m.isOpen() && m.admits(q.running.side)
 	}
 	return open, lacking
 }
@@ -213,7 +213,7 @@
 
 func (s *State) serve(q *query, index int32) {
 	r := &q.running
-	if r.probing && r.flying > 0 || r.plan.members[index].lacks(r.plan.snapshot, s.now) {
+	if r.probing && r.flying > 0 || r.plan.members[index].lacks(r.plan.snapshot, s.now) || !r.plan.members[index].admits(r.side) {
 		return
 	}
 	var shards []int32
@@ -298,7 +298,7 @@
 	for _, k := range []timerKind{timerHedge, timerStraggler, timerRetry, timerExpiry} {
 		s.disarm(&q.timers[k])
 	}
-	q.running = running{tag: r.tag, reruns: r.reruns + 1, warming: r.warming, probing: r.probing}
+	q.running = running{tag: r.tag, reruns: r.reruns + 1, warming: r.warming, probing: r.probing, side: r.side}
 	q.unit.running++
 	s.pin(q, p)
 	s.placeIdle(q)
--- a/reducer/query.go
+++ b/reducer/query.go
@@ -78,6 +78,8 @@
 	// retired says that no upstream has the snapshot for some shard.
 	retired bool
 	warming bool
+	// side is the version that the query goes to during a rollout.
+	side side
 	// probing says that only canaries are sent.
 	probing bool
 	// order lists the attempts in the order in which they were sent.
--- a/reducer/response.go
+++ b/reducer/response.go
@@ -68,6 +68,7 @@
 	took := s.now - a.sentAt
 	normal := !latency.Known(s.now) || took <= normalFactor*latency.High(s.now)
 	latency.Record(s.now, took)
+	s.sample(a, took, false)
 	a.member.responded()
 	a.member.limit = a.member.limit.WithCompleted(normal)
 	s.end(id, a)
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -41,6 +41,9 @@
 	attempts map[tiller.AttemptID]attempt
 	forwards map[ForwardID]*query
 	digests  map[uint64]*digest
+	// faults holds what is known of faulty versions, by the name of the rollout. Entries are never removed
+	// while the process runs: a fault is not taken back.
+	faults map[string]string
 
 	tokens     *spender.Table
 	quarantine *quarantiner.Table
@@ -75,6 +78,7 @@
 		attempts:   make(map[tiller.AttemptID]attempt),
 		forwards:   make(map[ForwardID]*query),
 		digests:    make(map[uint64]*digest),
+		faults:     make(map[string]string),
 		tokens:     spender.New(orDefault(cfg.TokenLimit, defaultTokenLimit)),
 		quarantine: quarantiner.New(orDefault(cfg.CleanLimit, defaultCleanLimit)),
 		decisions:  recorder.New(orDefault(cfg.DecisionLimit, defaultDecisionLimit)),
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -31,6 +31,8 @@
 	timerResume
 	// timerQuota puts a larger quota in force.
 	timerQuota
+	// timerRollout looks at the evidence of a rollout.
+	timerRollout
 )
 
 // timer is something due at a time. It is part of the entry that it belongs to.
@@ -109,6 +111,8 @@
 		s.resume(t.member)
 	case timerQuota:
 		s.growQuota(t.member)
+	case timerRollout:
+		s.onRolloutDue(t.unit)
 	}
 }
 
--- a/reducer/unit.go
+++ b/reducer/unit.go
@@ -62,6 +62,8 @@
 	hedges   hedger.Budget
 	retries  hedger.Budget
 	lastTag  int64
+	// rollout is the latest rollout of the service; nil when the document has none.
+	rollout *rollout
 	// released says that the lease was given back while the daemon stops.
 	released bool
 }
@@ -126,6 +128,7 @@
 		}
 	}
 	s.limitQueue(u)
+	s.adoptRollout(u)
 	for _, m := range slices.Clone(u.list) {
 		_, ok := wanted[m.upstream.spec.Name]
 		m.gone = !ok
--- a/runner/config.go
+++ b/runner/config.go
@@ -31,6 +31,10 @@
 	Forward func(context.Context, reducer.Forward) (tiller.Result, error)
 	// SendLease sends a message of the lease protocol. It must not block.
 	SendLease func(reducer.SendLease)
+	// Announce makes a fact known to all daemons. It must not block.
+	Announce func(reducer.Announce)
+	// FinishMove starts to write the final state of a rollout to the stored document. It must not block.
+	FinishMove func(reducer.FinishMove)
 	// Count adds n to a counter. It must not block.
 	Count func(name string, label tiller.Reason, n int64)
 	// EventLimit and ArrivalLimit bound the queues; 0 means the default.
@@ -49,6 +53,12 @@
 	if c.SendLease == nil {
 		c.SendLease = func(reducer.SendLease) {}
 	}
+	if c.Announce == nil {
+		c.Announce = func(reducer.Announce) {}
+	}
+	if c.FinishMove == nil {
+		c.FinishMove = func(reducer.FinishMove) {}
+	}
 	if c.Count == nil {
 		c.Count = func(string, tiller.Reason, int64) {}
 	}
--- a/runner/effect.go
+++ b/runner/effect.go
@@ -27,6 +27,10 @@
 		r.wake(e)
 	case reducer.Count:
 		r.cfg.Count(e.Name, e.Label, e.N)
+	case reducer.Announce:
+		r.cfg.Announce(e)
+	case reducer.FinishMove:
+		r.cfg.FinishMove(e)
 	case reducer.Stopped:
 		r.setStopped()
 	}
