Hand facts of other daemons to the daemon

Cause: a fault found elsewhere reached the table and nobody read it. Change: the syncer passes each fact on once when it is new. No measurement: covered by TestFactsAreHandedOver.

--- a/distributor/table.go
+++ b/distributor/table.go
@@ -27,6 +27,8 @@
 	seenAt   tiller.Millis
 	seen     bool
 	nextTick tiller.Millis
+	// learned are the facts that came from other daemons since the last TakeLearned.
+	learned []Fact
 }
 
 // New returns the empty Table of the daemon at a seat.
@@ -57,6 +59,13 @@
 // Fact returns the fact with the given key.
 func (t *Table) Fact(key string) (Fact, bool) { return t.facts.get(key) }
 
+// TakeLearned returns the facts that came from other daemons since the last call.
+func (t *Table) TakeLearned() []Fact {
+	learned := t.learned
+	t.learned = nil
+	return learned
+}
+
 // NextWake returns the time at which Tick is due.
 func (t *Table) NextWake() tiller.Millis { return t.nextTick }
 
@@ -190,6 +199,7 @@
 			fresh = append(fresh, f)
 		}
 	}
+	t.learned = append(t.learned, fresh...)
 	return fresh
 }
 
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -36,6 +36,8 @@
 	Send func(to int, m distributor.Message)
 	// Apply hands over the document that is in force from now on.
 	Apply func(*tiller.Document)
+	// Learned hands over a fact that another daemon has announced; nil when nobody wants them.
+	Learned func(distributor.Fact)
 	// Read and Watch read the record of the environment from the store.
 	Read  func(ctx context.Context) (keeper.Record, error)
 	Watch func(ctx context.Context, learned func(keeper.Record))
@@ -147,8 +149,15 @@
 		s.cfg.Apply(s.table.Document())
 		s.cfg.Log.Info("document in force", "Revision", revision)
 	}
+	learned := s.table.TakeLearned()
 	s.mu.Unlock()
 	s.send(out)
+	if s.cfg.Learned == nil {
+		return
+	}
+	for _, f := range learned {
+		s.cfg.Learned(f)
+	}
 }
 
 func (s *Syncer) send(out []distributor.Envelope) {
--- a/syncer/syncer_test.go
+++ b/syncer/syncer_test.go
@@ -121,6 +121,19 @@
 	require.Equal(t, "127.0.0.1:2", a.Address)
 }
 
+// TestFactsAreHandedOver guards against a fault of a version that reaches a daemon and is not acted on.
+func TestFactsAreHandedOver(t *testing.T) {
+	f := newFleet(3)
+	for _, s := range f.all {
+		s.LearnRecord(keeper.Record{Revision: 1})
+	}
+	var learned []string
+	f.all[2].cfg.Learned = func(fact distributor.Fact) { learned = append(learned, fact.Key) }
+	f.all[0].Announce(distributor.Fact{Key: "fault/m", Version: 1})
+	f.all[0].Announce(distributor.Fact{Key: "fault/m", Version: 1})
+	require.Equal(t, []string{"fault/m"}, learned)
+}
+
 // TestRunEnds guards against goroutines that outlive the daemon.
 func TestRunEnds(t *testing.T) {
 	defer goleak.VerifyNone(t)
