--- a/cmd/tillerload/commander/commander.go
+++ b/cmd/tillerload/commander/commander.go
@@ -59,12 +59,14 @@
 	var global globalOptions
 	var load loadOptions
 	var compare compareOptions
+	var capacity capacityOptions
 	parser := flags.NewNamedParser("tillerload", flags.HelpFlag|flags.PassDoubleDash)
 	parser.SubcommandsOptional = true
 	parser.LongDescription = description
 	must(parser.AddGroup("Global Options", "", &global))
 	must(parser.AddGroup("Load Options", "", &load))
 	must(parser.AddCommand("compare", "Measure queries against direct upstream calls", compareDescription, &compare))
+	must(parser.AddCommand("capacity", "Measure what a daemon costs and work it out for a size", capacityDescription, &capacity))
 	rest, err := parser.ParseArgs(args)
 	switch {
 	case flags.WroteHelp(err):
@@ -75,6 +77,8 @@
 		return c.exit(c.print("tillerload %s\n", version()))
 	case len(rest) > 0:
 		return c.exit(&inputError{errors.Errorf("unexpected argument %q", rest[0])})
+	case parser.Active != nil && parser.Active.Name == "capacity":
+		return c.exit(c.capacity(capacity, global.JSON))
 	case parser.Active != nil:
 		return c.exit(c.compare(ctx, compare, global.JSON))
 	}
--- a/cmd/tillerload/commander/commander_test.go
+++ b/cmd/tillerload/commander/commander_test.go
@@ -144,3 +144,19 @@
 	require.Contains(t, stderr, "violation TrueCoverage load-1-00000")
 	require.Contains(t, stderr, "tillerload: invariants were violated")
 }
+
+// TestCapacityRefusesImpossibleSizes guards against figures for a size that cannot exist.
+func TestCapacityRefusesImpossibleSizes(t *testing.T) {
+	for _, args := range [][]string{
+		{"capacity", "--daemons", "0"},
+		{"capacity", "--services", "0"},
+		{"capacity", "--upstreams", "3", "--services", "2"},
+		{"capacity", "--fan-out", "0"},
+		{"capacity", "--changes", "-1"},
+	} {
+		var out, errOut bytes.Buffer
+		require.Equal(t, 2, commander.New(&out, &errOut).Run(context.Background(), args), "%v", args)
+		require.Contains(t, errOut.String(), args[1], "%v", args)
+		require.Empty(t, out.String())
+	}
+}
