--- a/cmd/tillerload/embedder/fleet.go
+++ b/cmd/tillerload/embedder/fleet.go
@@ -51,19 +51,20 @@
 // Start starts a fleet with one daemon for each seat of the document. Close ends it.
 func Start(cfg Config) (*Fleet, error) {
 	f := &Fleet{Rotation: sender.NewRotation(), settings: map[string]faker.UpstreamSettings{}}
+	base := demonstrator.DefaultUpstream(cfg.Search)
+	if cfg.Service > 0 {
+		base.ServiceMillis = tiller.FromDuration(cfg.Service)
+	}
+	for _, u := range cfg.Document.Upstreams {
+		f.settings[u.Name] = base.WithUpstream(*cfg.Document, u)
+	}
 	var err error
 	f.fleet, err = demonstrator.Start(demonstrator.Config{
 		Clock:       tiller.SystemClock(),
 		Logger:      cfg.Logger,
 		Document:    cfg.Document,
-		Search:      cfg.Search,
+		Upstream:    base,
 		DrainMillis: drainMillis,
-		Tune: func(s *faker.UpstreamSettings) {
-			if cfg.Service > 0 {
-				s.ServiceMillis = tiller.FromDuration(cfg.Service)
-			}
-			f.settings[s.Name] = *s
-		},
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "embedded fleet")
@@ -88,14 +89,14 @@
 func (f *Fleet) Document() *tiller.Document { return f.doc.Load() }
 
 // Platform returns the fake platform.
-func (f *Fleet) Platform() *faker.Platform { return f.fleet.Platform }
+func (f *Fleet) Platform() *faker.Platform { return f.fleet.Fakes.Platform }
 
 // Upstreams returns the fake upstreams of a failure domain by name; an empty domain means all.
 func (f *Fleet) Upstreams(domain string) map[string]*faker.Upstream {
 	found := map[string]*faker.Upstream{}
 	for _, u := range f.Document().Upstreams {
 		if domain == "" || u.Domain == domain {
-			found[u.Name] = f.fleet.Upstreams[u.Name]
+			found[u.Name] = f.fleet.Fakes.Upstreams[u.Name]
 		}
 	}
 	return found
