--- a/reducer/state.go
+++ b/reducer/state.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"math/rand/v2"
+
 	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/quarantiner"
 	"github.com/carawaytiller/carawaytiller/queuer"
@@ -16,8 +18,8 @@
 type State struct {
 	cfg Config
 	now tiller.Millis
-	// random is the state of the generator seeded with the random number of the event.
-	random uint64
+	// random is seeded with the random number of the event.
+	random rand.PCG
 	// leaseVersion changes whenever a cached Holding may be out of date.
 	leaseVersion uint64
 
@@ -89,11 +91,5 @@
 // unknownSeat stands for the seat of a daemon that is not known.
 const unknownSeat = -1
 
-// draw returns the next random number of this step (splitmix64).
-func (s *State) draw() uint64 {
-	s.random += 0x9e3779b97f4a7c15
-	x := s.random
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
+// draw returns the next random number of this step.
+func (s *State) draw() uint64 { return s.random.Uint64() }
--- a/reducer/step.go
+++ b/reducer/step.go
@@ -79,7 +79,7 @@
 	}
 }
 
-func (s *State) seed(stamp Stamp) { s.random = stamp.Random }
+func (s *State) seed(stamp Stamp) { s.random.Seed(stamp.Random, 0) }
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
