Answer a request whose body never arrives

The guard cleared the read deadline after a failed body too, and net/http reads the rest of a body before it answers: such a request was never answered and kept its connection. The deadline now holds from the header until the whole body has arrived. Found by the new test, which also guards against a deadline that ends a long query.

--- a/server/caller.go
+++ b/server/caller.go
@@ -34,11 +34,12 @@
 func NewCaller(cfg CallerConfig) (http.Handler, error) {
 	h := &callerHandler{cfg: cfg}
 	g := &guard{
-		pages:    pages{metrics: cfg.Metrics, ready: cfg.Ready},
-		clock:    cfg.Clock,
-		maxBytes: maxCallerBytes,
-		stopping: cfg.Stopping,
-		refuse:   h.refuse,
+		pages:      pages{metrics: cfg.Metrics, ready: cfg.Ready},
+		clock:      cfg.Clock,
+		maxBytes:   maxCallerBytes,
+		readMillis: bodyMillis,
+		stopping:   cfg.Stopping,
+		refuse:     h.refuse,
 	}
 	next, err := caller.NewServer(
 		h,
--- a/server/guard.go
+++ b/server/guard.go
@@ -20,8 +20,8 @@
 	maxOperatorBytes = 4 << 20
 	// maxHeaderBytes bounds the header of a request that gets a refusal with a body.
 	maxHeaderBytes = 64 << 10
-	// readMillis bounds the arrival of a body, writeMillis the writing of a response.
-	readMillis  = 10 * tiller.Second
+	// bodyMillis bounds the arrival of a body, writeMillis the writing of a response.
+	bodyMillis  = 10 * tiller.Second
 	writeMillis = 30 * tiller.Second
 )
 
@@ -37,6 +37,8 @@
 	pages    pages
 	clock    tiller.Clock
 	maxBytes int64
+	// readMillis bounds the arrival of a body.
+	readMillis tiller.Millis
 	// stopping says that the daemon stops, so that connections are to close after their next response.
 	stopping func() bool
 	// refuse writes a refusal NotRun.
@@ -48,6 +50,7 @@
 func (g *guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := g.clock.Now()
 	w = &timedWriter{ResponseWriter: w}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.readMillis.Duration()))
 	if g.stopping() {
 		w.Header().Set("Connection", "close")
 	}
@@ -79,17 +82,19 @@
 	page(w)
 }
 
-// readBody reads the whole body. Its deadline is cleared afterwards: net/http keeps reading to notice
-// that the client has gone, and a deadline that passes would look the same and cancel the request.
+// readBody reads the whole body and clears the read deadline: net/http keeps reading to notice that
+// the client has gone, and a deadline that passes would look the same and cancel the request.
+// Without a whole body the deadline stays, because net/http reads the rest of a body before it answers
+// and would wait for it without end.
 func (g *guard) readBody(w http.ResponseWriter, r *http.Request) ([]byte, int, error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(readMillis.Duration()))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.maxBytes))
-	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+		return body, 0, nil
+	}
+	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	switch {
-	case err == nil:
-		return body, 0, nil
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge, errors.New("the body is too large")
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/server/operator.go
+++ b/server/operator.go
@@ -59,11 +59,12 @@
 func NewOperator(cfg OperatorConfig) (http.Handler, error) {
 	h := &operatorHandler{cfg: cfg}
 	g := &guard{
-		pages:    pages{metrics: cfg.Metrics, ready: cfg.Ready},
-		clock:    cfg.Clock,
-		maxBytes: maxOperatorBytes,
-		stopping: cfg.Stopping,
-		refuse:   h.refuse,
+		pages:      pages{metrics: cfg.Metrics, ready: cfg.Ready},
+		clock:      cfg.Clock,
+		maxBytes:   maxOperatorBytes,
+		readMillis: bodyMillis,
+		stopping:   cfg.Stopping,
+		refuse:     h.refuse,
 	}
 	next, err := operator.NewServer(
 		h,
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -253,3 +253,36 @@
 	require.Equal(t, 400, resp.StatusCode)
 	require.Contains(t, string(body), `"Reason":"BadRequest"`)
 }
+
+// Guards against a body that never arrives, and against the deadline of the body ending a long query:
+// net/http cancels a request when a read deadline passes.
+func TestReadDeadline(t *testing.T) {
+	const bound = 50 * tiller.Millis(1)
+	h := &callerHandler{cfg: callerConfig(nil)}
+	ended := make(chan error, 1)
+	g := &guard{
+		clock: tiller.SystemClock(), maxBytes: maxCallerBytes, readMillis: bound, refuse: h.refuse,
+		stopping: func() bool { return false },
+		next: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			time.Sleep(4 * bound.Duration())
+			ended <- r.Context().Err()
+		}),
+	}
+	address := listen(t, g, nil)
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, request("POST", "/v1/query", "", goodQuery, len(goodQuery)))
+	require.NoError(t, err)
+	require.NoError(t, <-ended)
+
+	slow, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer slow.Close()
+	_, err = io.WriteString(slow, request("POST", "/v1/query", "", goodQuery[:10], len(goodQuery)))
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(slow), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+}
