--- a/reducer/failed.go
+++ b/reducer/failed.go
@@ -26,6 +26,9 @@
 	if e.Verdict != tiller.NotRun {
 		q.mayHaveRun = true
 	}
+	if isVersionFailure(e.Reason) {
+		s.sample(a, s.now-a.sentAt, true)
+	}
 	s.limitAfter(a, e)
 	s.end(id, a)
 	failed := q.lose(id, a, e.Reason)
@@ -65,6 +68,9 @@
 		return
 	}
 	m.limit = m.limit.WithShed(a.sentAt, s.now)
+	if a.kind == kindFirst {
+		m.unit.retries = m.unit.retries.WithShed()
+	}
 	s.pause(m, min(max(e.RetryAfter, shedPauseMillis), longestPauseMillis))
 }
 
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -31,6 +31,8 @@
 	timerResume
 	// timerQuota puts a larger quota in force.
 	timerQuota
+	// timerRollout looks at the evidence of a rollout.
+	timerRollout
 )
 
 // timer is something due at a time. It is part of the entry that it belongs to.
@@ -102,13 +104,15 @@
 	case timerExpiry:
 		s.onExpiry(t.query)
 	case timerOwner:
-		s.seekOwner(t.query)
+		s.onOwnerDue(t.query)
 	case timerUnit:
 		s.touch(t.unit)
 	case timerResume:
 		s.resume(t.member)
 	case timerQuota:
 		s.growQuota(t.member)
+	case timerRollout:
+		s.onRolloutDue(t.unit)
 	}
 }
 
--- a/reducer/unit.go
+++ b/reducer/unit.go
@@ -15,6 +15,9 @@
 // the loss of one upstream at a fan-out of several hundred.
 const budgetBurst = 100
 
+// firstRetries is the number of retries that a new owner may send before it has earned any.
+const firstRetries = 3
+
 // unit is a unit of ownership: the queue, the limits and the measurements of its work at this daemon.
 type unit struct {
 	id tracker.UnitID
@@ -59,6 +62,8 @@
 	hedges   hedger.Budget
 	retries  hedger.Budget
 	lastTag  int64
+	// rollout is the latest rollout of the service; nil when the document has none.
+	rollout *rollout
 	// released says that the lease was given back while the daemon stops.
 	released bool
 }
@@ -104,7 +109,7 @@
 		queue:    queuer.New(0),
 		measures: make(map[string]*measure),
 		hedges:   hedger.NewBudget(spec.HedgePercent, budgetBurst),
-		retries:  hedger.NewBudget(spec.RetryPercent, budgetBurst),
+		retries:  hedger.NewBudget(spec.RetryPercent, budgetBurst).WithSpent(-firstRetries),
 	}
 	s.held = append(s.held, u)
 	s.adopt(u)
@@ -123,6 +128,7 @@
 		}
 	}
 	s.limitQueue(u)
+	s.adoptRollout(u)
 	for _, m := range slices.Clone(u.list) {
 		_, ok := wanted[m.upstream.spec.Name]
 		m.gone = !ok
@@ -144,7 +150,7 @@
 	s.disarm(&m.quotaTimer)
 	up := m.upstream
 	up.members = slices.DeleteFunc(up.members, func(other *member) bool { return other == m })
-	if len(up.members) == 0 {
+	if len(up.members) == 0 && !up.listed {
 		delete(s.upstreams, up.spec.Name)
 	}
 }
--- a/reducer/voters.go
+++ b/reducer/voters.go
@@ -14,19 +14,18 @@
 }
 
 // announceUnits tells the lease protocol the units of the document and their voters.
-func (s *State) announceUnits(c catalog) {
+func (s *State) announceUnits() {
 	if s.cfg.SetUnits == nil {
 		return
 	}
-	seats := router.Seats(s.document)
-	regionOf := func(domain string) string { return c.domains[domain].Region }
+	roster := router.NewRoster(router.Seats(s.document))
 	var units []tracker.Unit
 	for _, spec := range s.document.Services {
 		sv := s.services[spec.Name]
-		region := router.HomeRegion(spec, sv.upstreams, regionOf)
+		region := router.HomeRegion(spec, sv.upstreams, s.regionOf)
 		for index := range sv.owners {
 			id := tracker.UnitID{Service: spec.Name, Index: index}
-			units = append(units, tracker.Unit{ID: id, Voters: s.rankVoters(id, region, seats)})
+			units = append(units, tracker.Unit{ID: id, Voters: s.rankVoters(id, region, roster)})
 		}
 	}
 	s.leaseVersion++
@@ -34,11 +33,11 @@
 }
 
 // rankVoters returns the voters of a unit, ranked again only when the epoch or the home region has changed.
-func (s *State) rankVoters(id tracker.UnitID, region string, seats []router.Seat) []int {
+func (s *State) rankVoters(id tracker.UnitID, region string, roster router.Roster) []int {
 	set, ok := s.voters[id]
 	if !ok || set.epoch != s.epoch || set.region != region {
 		set = voterSet{epoch: s.epoch, region: region}
-		set.seats = router.Voters(id.Service, id.Index, region, seats)
+		set.seats = roster.Voters(id.Service, id.Index, region)
 		s.voters[id] = set
 	}
 	return set.seats
@@ -53,16 +52,11 @@
 		return set.seats
 	}
 	region := router.HomeRegion(u.service.spec, u.service.upstreams, s.regionOf)
-	return s.rankVoters(u.id, region, router.Seats(s.document))
+	return s.rankVoters(u.id, region, router.NewRoster(router.Seats(s.document)))
 }
 
 func (s *State) regionOf(domain string) string {
-	for _, d := range s.document.Domains {
-		if d.Name == domain {
-			return d.Region
-		}
-	}
-	return ""
+	return s.catalog.domains[domain].Region
 }
 
 // onSeat notes the seat of this process.
@@ -83,7 +77,7 @@
 	return s.seat, s.seat != unknownSeat
 }
 
-// tokenHolder says whether this process has the seat and incarnation that a token names.
+// isSelf says whether this process holds a seat.
 func (s *State) isSelf(seat int) bool {
 	own, ok := s.ownSeat()
 	return ok && own == seat
