Join daemons to their fleet over QUIC and the platform's store

joiner claims a seat, follows the stored document, exchanges queries, leases and facts with peers, and serves the operators' document interface.

--- a/assembler/config.go
+++ b/assembler/config.go
@@ -17,25 +17,29 @@
 	// CallerAddress and OperatorAddress are the addresses to listen on; port 0 takes a free one.
 	CallerAddress   string
 	OperatorAddress string
-	// Seat and Incarnation are the seat that this process holds.
-	Seat        int
-	Incarnation int64
 	// DrainMillis is the part of a planned stop for which the daemon still takes new work, while
 	// /readyz fails and callers are asked to close their connections.
 	DrainMillis tiller.Millis
 	// Peers connects the daemon with others; nil makes it the owner of everything.
 	Peers *Peers
+	// KnowledgeAge returns the time since the revision in force was last confirmed, -1 when it never was;
+	// nil means since it was applied.
+	KnowledgeAge func() tiller.Millis
 	// GetDocument and PutDocument reach the stored document; nil when there is no store.
 	GetDocument func(ctx context.Context, env string) (*operator.StoredDocument, error)
 	PutDocument func(ctx context.Context, env string, change *operator.Change) (*operator.Accepted, error)
 }
 
-// Peers is how a daemon reaches the others. The functions are required.
+// Peers is how a daemon reaches the others. Forward and SendLease are required.
 type Peers struct {
 	// Forward passes a query to a peer and waits for the result.
 	Forward func(context.Context, reducer.Forward) (tiller.Result, error)
 	// SendLease sends a message of the lease protocol without blocking.
 	SendLease func(reducer.SendLease)
+	// Announce makes a fact known to all daemons without blocking.
+	Announce func(reducer.Announce)
+	// FinishMove starts to write the final state of a rollout to the stored document.
+	FinishMove func(reducer.FinishMove)
 	// SpreadMillis is the time within which a document is in force everywhere; 0 means the bound
 	// of the target size.
 	SpreadMillis tiller.Millis
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -34,6 +34,7 @@
 	revision int64
 	// appliedAt is the time at which the document in force was applied; 0 when there is none.
 	appliedAt  atomic.Int64
+	hasSeat    atomic.Bool
 	isStopping atomic.Bool
 }
 
@@ -43,7 +44,7 @@
 	server   *http.Server
 }
 
-// New returns a daemon that listens on its addresses. It takes no work before Apply.
+// New returns a daemon that listens on its addresses. It takes no work before TakeSeat and Apply.
 func New(cfg Config) (*Daemon, error) {
 	d := &Daemon{cfg: cfg.withDefaults(), metrics: server.NewMetrics()}
 	if err := d.listen(); err != nil {
@@ -54,10 +55,15 @@
 		d.Close()
 		return nil, err
 	}
+	return d, nil
+}
+
+// TakeSeat says that this process holds a seat.
+func (d *Daemon) TakeSeat(seat int, incarnation int64) {
 	d.runner.Post(func(s reducer.Stamp) reducer.Event {
-		return reducer.SeatTaken{Stamp: s, Seat: cfg.Seat, Incarnation: cfg.Incarnation}
+		return reducer.SeatTaken{Stamp: s, Seat: seat, Incarnation: incarnation}
 	})
-	return d, nil
+	d.hasSeat.Store(true)
 }
 
 // listen opens both listeners, or none.
@@ -83,6 +89,8 @@
 	if peers := d.cfg.Peers; peers != nil {
 		cfg.Forward = peers.Forward
 		cfg.SendLease = peers.SendLease
+		cfg.Announce = peers.Announce
+		cfg.FinishMove = peers.FinishMove
 		l := &leases{spread: peers.SpreadMillis, running: func(id tracker.UnitID) int { return d.state.Running(id) }}
 		reducerConfig = l.config()
 	}
@@ -143,6 +151,8 @@
 	switch {
 	case d.isStopping.Load():
 		return "stopping"
+	case !d.hasSeat.Load():
+		return "no seat"
 	case d.appliedAt.Load() == 0:
 		return "no document"
 	}
@@ -168,6 +178,9 @@
 	return nil
 }
 
+// IsReady reports whether the daemon takes callers' work.
+func (d *Daemon) IsReady() bool { return d.unready() == "" }
+
 // Submit runs a query that the seat from has forwarded after redirects redirects.
 func (d *Daemon) Submit(ctx context.Context, q tiller.Query, from, redirects int) tiller.Result {
 	return d.runner.SubmitFrom(ctx, q, from, redirects)
@@ -180,6 +193,13 @@
 	})
 }
 
+// LearnFact hands over a fact that another daemon has announced.
+func (d *Daemon) LearnFact(key string, version int64, value []byte) {
+	d.runner.Post(func(s reducer.Stamp) reducer.Event {
+		return reducer.FactLearned{Stamp: s, Key: key, Version: version, Value: value}
+	})
+}
+
 // CallerAddress returns the address that serves callers.
 func (d *Daemon) CallerAddress() string { return d.caller.listener.Addr().String() }
 
--- a/assembler/example_test.go
+++ b/assembler/example_test.go
@@ -21,6 +21,7 @@
 		fmt.Println(err)
 		return
 	}
+	d.TakeSeat(0, 1)
 	fmt.Println(d.Apply(&tiller.Document{Environment: "trial", Revision: 1, Seats: 1}))
 	fmt.Println(d.Stop(context.Background()))
 	// Output:
--- a/assembler/failure_test.go
+++ b/assembler/failure_test.go
@@ -24,7 +24,7 @@
 	q := query("partial", `"x"`)
 	q.NeededCoverage = caller.NewOptFloat64(0.5)
 	q.DeadlineMillis = 500
-	a, err := ask(t.Context(), f.Daemons[0], q)
+	a, err := ask(t.Context(), f.Daemon(0), q)
 	require.NoError(t, err)
 	require.Equal(t, shardCount, a.Coverage.Asked)
 	require.Equal(t, shardCount-1, a.Coverage.Answered)
@@ -34,7 +34,7 @@
 	requireOwn(t, a, `"x"`)
 
 	q.ID, q.NeededCoverage = "whole", caller.NewOptFloat64(1)
-	refusal := refused(t, f.Daemons[0], q)
+	refusal := refused(t, f.Daemon(0), q)
 	require.Equal(t, caller.RefusalVerdictMayHaveRun, refusal.Verdict)
 	require.EqualValues(t, tiller.ReasonCoverageTooLow, refusal.Reason)
 	require.Equal(t, "s2", refusal.Coverage.Value.Missing[0].Shard)
@@ -50,11 +50,11 @@
 	}
 	// A request that is written before the daemon notices may have run, and is refused as such.
 	require.Eventually(t, func() bool {
-		return f.Daemons[0].Metrics().Value("connection_lost", tiller.ReasonConnectionLost) == shardCount
+		return f.Daemon(0).Metrics().Value("connection_lost", tiller.ReasonConnectionLost) == shardCount
 	}, patience, time.Millisecond)
 	q := query("none", `"warm"`)
 	q.DeadlineMillis = 300
-	refusal := refused(t, f.Daemons[0], q)
+	refusal := refused(t, f.Daemon(0), q)
 	after := 0
 	for _, u := range f.Fakes.Upstreams {
 		after += u.Counts().Run
@@ -72,13 +72,13 @@
 		q := query("q"+body, body)
 		q.NeededCoverage = caller.NewOptFloat64(0.5)
 		q.DeadlineMillis = 300
-		if a, err := ask(t.Context(), f.Daemons[0], q); err == nil {
+		if a, err := ask(t.Context(), f.Daemon(0), q); err == nil {
 			requireOwn(t, a, body)
 			require.Len(t, a.Coverage.Missing, 1)
 			require.Equal(t, "s1", a.Coverage.Missing[0].Shard)
 		}
 	}
-	require.Positive(t, f.Daemons[0].Metrics().Value("response_mismatched", tiller.ReasonMismatch))
+	require.Positive(t, f.Daemon(0).Metrics().Value("response_mismatched", tiller.ReasonMismatch))
 }
 
 // Guards against a query that fails because one of its connections carries nothing any more.
@@ -86,19 +86,19 @@
 	f := start(t, 1, nil)
 	// One attempt in ten may be repeated, so four repetitions need forty first attempts.
 	for i := range 12 {
-		_, err := ask(t.Context(), f.Daemons[0], query(fmt.Sprint("fill-", i), `"warm"`))
+		_, err := ask(t.Context(), f.Daemon(0), query(fmt.Sprint("fill-", i), `"warm"`))
 		require.NoError(t, err)
 	}
 	for _, u := range f.Fakes.Upstreams {
 		u.SetFaults(faker.UpstreamFaults{Silent: true})
 	}
 	begin := time.Now()
-	a, err := ask(t.Context(), f.Daemons[0], query("q", `"warm"`))
+	a, err := ask(t.Context(), f.Daemon(0), query("q", `"warm"`))
 	require.NoError(t, err)
 	require.Equal(t, shardCount, a.Coverage.Answered)
 	// Eight times the shortest time after which a connection is suspect.
 	require.Less(t, time.Since(begin), 2*time.Second)
-	require.EqualValues(t, shardCount, f.Daemons[0].Metrics().Value("connection_silent", tiller.ReasonSilent))
+	require.EqualValues(t, shardCount, f.Daemon(0).Metrics().Value("connection_silent", tiller.ReasonSilent))
 }
 
 // Guards against upstream work for a caller that has gone.
@@ -107,9 +107,9 @@
 	for _, u := range f.Fakes.Upstreams {
 		u.SetFaults(faker.UpstreamFaults{ServiceMillis: 2 * tiller.Second})
 	}
-	for _, d := range f.Daemons {
+	for vm := range f.Members {
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
-		_, err := ask(ctx, d, query("gone", `"warm"`))
+		_, err := ask(ctx, f.Daemon(vm), query("gone", `"warm"`))
 		cancel()
 		require.Error(t, err)
 		require.Eventually(t, func() bool {
@@ -124,7 +124,7 @@
 	for _, u := range f.Fakes.Upstreams {
 		cancelled += u.Counts().Cancelled
 	}
-	require.Equal(t, len(f.Daemons)*shardCount, cancelled)
+	require.Equal(t, len(f.Members)*shardCount, cancelled)
 }
 
 // Guards against a label that is printed twice because its caller sent the request again, through whichever
@@ -132,12 +132,13 @@
 func TestResentRequestRunsOnce(t *testing.T) {
 	f := start(t, 3, func(s *faker.UpstreamSettings) { s.ServiceMillis = 20 })
 	for i := range 12 {
-		token, err := client(f.Daemons[i%3]).IssueToken(t.Context())
+		token, err := client(f.Daemon(i % 3)).IssueToken(t.Context())
 		require.NoError(t, err)
 		id := fmt.Sprint("print-", i)
 		var answered atomic.Int64
 		var tasks sync.WaitGroup
-		for copies, d := range append(f.Daemons, f.Daemons...) {
+		for copies := range 2 * len(f.Members) {
+			d := f.Daemon(copies % len(f.Members))
 			ctx, cancel := context.WithCancel(t.Context())
 			if i%2 == 1 && copies == 0 {
 				time.AfterFunc(10*time.Millisecond, cancel)
@@ -175,10 +176,10 @@
 	} {
 		q := query("bad", `"warm"`)
 		test.spoil(q)
-		refusal := refused(t, f.Daemons[0], q)
+		refusal := refused(t, f.Daemon(0), q)
 		require.EqualValues(t, test.reason, refusal.Reason, name)
 		require.Equal(t, caller.RefusalVerdictNotRun, refusal.Verdict, name)
-		_, err := ask(t.Context(), f.Daemons[0], query("good", `"warm"`))
+		_, err := ask(t.Context(), f.Daemon(0), query("good", `"warm"`))
 		require.NoError(t, err, name)
 	}
 }
@@ -210,9 +211,9 @@
 			}
 		})
 	}
-	for seat := range f.Daemons {
+	for seat := range f.Members {
 		balancer.drain(t, seat)
-		require.NoError(t, f.StartDaemon(seat, 2))
+		require.NoError(t, f.StartDaemon(seat))
 		balancer.restore(seat)
 		// The restarted daemon must vote again before the next one stops.
 		time.Sleep(2 * time.Second)
@@ -236,10 +237,10 @@
 func newBalancer(f *demonstrator.Fleet) *balancer {
 	b := &balancer{
 		fleet:   f,
-		clients: make([]atomic.Pointer[caller.Client], len(f.Daemons)),
-		ready:   make([]atomic.Bool, len(f.Daemons)),
+		clients: make([]atomic.Pointer[caller.Client], len(f.Members)),
+		ready:   make([]atomic.Bool, len(f.Members)),
 	}
-	for seat := range f.Daemons {
+	for seat := range f.Members {
 		b.restore(seat)
 	}
 	return b
@@ -256,7 +257,7 @@
 }
 
 func (b *balancer) restore(seat int) {
-	b.clients[seat].Store(client(b.fleet.Daemons[seat]))
+	b.clients[seat].Store(client(b.fleet.Daemon(seat)))
 	b.ready[seat].Store(true)
 }
 
@@ -264,7 +265,7 @@
 func (b *balancer) drain(t *testing.T, seat int) {
 	t.Helper()
 	stopped := make(chan error, 1)
-	address := b.fleet.Daemons[seat].CallerAddress()
+	address := b.fleet.Daemon(seat).CallerAddress()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -77,7 +77,7 @@
 		tune(&upstream)
 	}
 	f, err := demonstrator.Start(demonstrator.Config{
-		Clock: tiller.SystemClock(), Logger: logr.Discard(), Document: document(seats), Upstream: upstream, DrainMillis: 300,
+		Clock: tiller.SystemClock(), Logger: logr.Discard(), Document: document(seats), Upstream: upstream, DrainMillis: 300, SpreadMillis: 1,
 	})
 	require.NoError(t, err)
 	t.Cleanup(func() {
@@ -85,7 +85,7 @@
 		f.Close()
 	})
 	require.Eventually(t, func() bool {
-		_, err := ask(t.Context(), f.Daemons[0], query("warm", `"warm"`))
+		_, err := ask(t.Context(), f.Daemon(0), query("warm", `"warm"`))
 		return err == nil
 	}, patience, 20*time.Millisecond)
 	return f
--- a/assembler/view.go
+++ b/assembler/view.go
@@ -25,7 +25,7 @@
 		Incarnation:        st.Incarnation,
 		Environment:        st.Environment,
 		Revision:           st.Revision,
-		KnowledgeAgeMillis: int64(now - tiller.Millis(d.appliedAt.Load())),
+		KnowledgeAgeMillis: int64(d.knowledgeAge(now)),
 		Stopping:           d.isStopping.Load(),
 		Units:              make([]operator.Unit, len(st.Units)),
 		Upstreams:          make([]operator.UpstreamStatus, len(st.Upstreams)),
@@ -41,6 +41,13 @@
 	return out, nil
 }
 
+func (d *Daemon) knowledgeAge(now tiller.Millis) tiller.Millis {
+	if d.cfg.KnowledgeAge != nil {
+		return d.cfg.KnowledgeAge()
+	}
+	return now - tiller.Millis(d.appliedAt.Load())
+}
+
 // explain tells operators what was decided for a request.
 func (d *Daemon) explain(_ context.Context, id tiller.RequestID) (*operator.Explanation, error) {
 	var decisions []recorder.Decision
--- a/cmd/tillerd/demo.go
+++ b/cmd/tillerd/demo.go
@@ -35,7 +35,9 @@
 		Clock:    tiller.SystemClock(),
 		Logger:   log,
 		Document: sampler.Document(sampler.Guild, func(string) string { return "" }),
-		Upstream: demonstrator.DefaultUpstream(runSearch(records)),
+		// The daemons start with the document, so nobody goes by an earlier one.
+		SpreadMillis: 1,
+		Upstream:     demonstrator.DefaultUpstream(runSearch(records)),
 	})
 	if err != nil {
 		return err
@@ -70,7 +72,7 @@
 // shown is how an answer is printed.
 type shown struct {
 	Question string
-	// Daemon is the seat of the daemon that was asked.
+	// Daemon is the number of the daemon that was asked.
 	Daemon int
 	Answer *caller.Answer
 }
@@ -95,7 +97,7 @@
 
 // ask asks one question.
 func (d *demo) ask(ctx context.Context, id string, q question) (*caller.Answer, error) {
-	asked, err := client(d.fleet.Daemons[q.Daemon].CallerAddress())
+	asked, err := client(d.fleet.Daemon(q.Daemon).CallerAddress())
 	if err != nil {
 		return nil, err
 	}
@@ -118,12 +120,12 @@
 	return answer, err
 }
 
-// ensureToken gets a single-use token from the daemon of a seat, unless there is one.
+// ensureToken gets a single-use token from a daemon, unless there is one.
 func (d *demo) ensureToken(ctx context.Context, issuer int) error {
 	if d.token != "" {
 		return nil
 	}
-	c, err := client(d.fleet.Daemons[issuer].CallerAddress())
+	c, err := client(d.fleet.Daemon(issuer).CallerAddress())
 	if err != nil {
 		return err
 	}
@@ -159,10 +161,11 @@
 
 Callers' and operators' addresses by seat:
 `
-	first := d.fleet.Daemons[0]
-	second := d.fleet.Daemons[1].CallerAddress()
+	first := d.fleet.Daemon(0)
+	second := d.fleet.Daemon(1).CallerAddress()
 	fmt.Fprintf(d.program.stdout, format, first.CallerAddress(), second, first.OperatorAddress(), first.OperatorAddress(), first.OperatorAddress())
-	for seat, daemon := range d.fleet.Daemons {
-		fmt.Fprintf(d.program.stdout, "%d %s %s\n", seat, daemon.CallerAddress(), daemon.OperatorAddress())
+	for vm, member := range d.fleet.Members {
+		daemon := d.fleet.Daemon(vm)
+		fmt.Fprintf(d.program.stdout, "%d %s %s\n", member.Seat(), daemon.CallerAddress(), daemon.OperatorAddress())
 	}
 }
--- a/cmd/tillerd/question.go
+++ b/cmd/tillerd/question.go
@@ -34,7 +34,7 @@
 	Service string
 	Route   string
 	Body    string
-	// Daemon is the seat of the daemon that is asked, Issuer of the one that issues the token.
+	// Daemon is the number of the daemon that is asked, Issuer of the one that issues the token.
 	Daemon int
 	Issuer int
 }
--- a/cmd/tillerd/run.go
+++ b/cmd/tillerd/run.go
@@ -43,6 +43,7 @@
 	if err != nil {
 		return err
 	}
+	d.TakeSeat(*settings.Seat, 1)
 	if err := d.Apply(doc); err != nil {
 		d.Close()
 		return err
@@ -92,8 +93,6 @@
 		Logger:          log.WithValues("Name", s.Name),
 		CallerAddress:   s.CallerAddress,
 		OperatorAddress: s.OperatorAddress,
-		Seat:            *s.Seat,
-		Incarnation:     1,
 		DrainMillis:     min(s.StopMillis/10, greatestDrainMillis),
 	}, nil
 }
--- a/demonstrator/example_test.go
+++ b/demonstrator/example_test.go
@@ -26,6 +26,6 @@
 		return
 	}
 	defer fleet.Close()
-	fmt.Println(len(fleet.Daemons), "daemons")
+	fmt.Println(len(fleet.Members), "daemons")
 	// Output: 8 daemons
 }
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -4,17 +4,31 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 
 	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/api/platform"
 	"github.com/carawaytiller/carawaytiller/assembler"
+	"github.com/carawaytiller/carawaytiller/decoder"
 	"github.com/carawaytiller/carawaytiller/faker"
+	"github.com/carawaytiller/carawaytiller/issuer"
+	"github.com/carawaytiller/carawaytiller/joiner"
+	"github.com/carawaytiller/carawaytiller/keeper"
+	"github.com/carawaytiller/carawaytiller/messenger"
 )
 
-// loopback is the address of everything in the fleet; the system chooses the port.
-const loopback = "127.0.0.1:0"
+const (
+	// loopback is the address of everything in the fleet; the system chooses the port.
+	loopback = "127.0.0.1:0"
+	// readyMillis bounds the time until a daemon has a seat and the document.
+	readyMillis = 20 * tiller.Second
+	// keyMillis is the validity of the trial authority and its certificates.
+	keyMillis = 24 * tiller.Hour
+)
 
 // Config says what a fleet consists of.
 type Config struct {
@@ -26,6 +40,9 @@
 	Upstream faker.UpstreamSettings
 	// DrainMillis is that of each daemon.
 	DrainMillis tiller.Millis
+	// SpreadMillis is the time within which a document is in force everywhere; 0 means the bound of the
+	// target size, which delays the first query by it.
+	SpreadMillis tiller.Millis
 }
 
 // DefaultUpstream returns settings for small and quick upstreams that run search.
@@ -43,84 +60,172 @@
 
 // Fleet is a running fleet.
 type Fleet struct {
-	cfg      Config
-	exchange *exchange
+	cfg Config
 	// Fakes are the platform and the upstreams.
 	Fakes *faker.Fleet
 	// Document is the document in force, with the addresses of the fakes.
 	Document *tiller.Document
-	// Daemons are the daemons by seat; a stopped one is nil.
-	Daemons []*assembler.Daemon
+	// Members are the daemons by VM; a stopped one is nil.
+	Members []*joiner.Member
+
+	authority *issuer.Authority
+	platform  keeper.Platform
+	transport *http.Transport
 }
 
-// Start starts a fleet with one daemon for each seat of the document. Close ends it.
+// Start starts a fleet with as many daemons as the document has seats and waits until they are ready.
+// Close ends it.
 func Start(cfg Config) (*Fleet, error) {
 	fakes, err := faker.NewFleet(*cfg.Document, cfg.Upstream, faker.StoreSettings{}, cfg.Clock)
 	if err != nil {
 		return nil, err
 	}
-	_, doc, err := fakes.Start()
+	address, doc, err := fakes.Start()
 	if err != nil {
 		return nil, err
 	}
 	f := &Fleet{
-		cfg:      cfg,
-		exchange: newExchange(),
-		Fakes:    fakes,
-		Document: &doc,
-		Daemons:  make([]*assembler.Daemon, doc.Seats),
-	}
-	for seat := range f.Daemons {
-		if err := f.StartDaemon(seat, 1); err != nil {
-			f.Close()
-			return nil, err
-		}
+		cfg:       cfg,
+		Fakes:     fakes,
+		Document:  &doc,
+		Members:   make([]*joiner.Member, doc.Seats),
+		transport: &http.Transport{},
+	}
+	if err := f.start(address); err != nil {
+		f.Close()
+		return nil, err
 	}
 	return f, nil
 }
 
-// StartDaemon starts the daemon of a seat, which has none, with an incarnation greater than before.
-func (f *Fleet) StartDaemon(seat int, incarnation int64) error {
-	d, err := assembler.New(assembler.Config{
+func (f *Fleet) start(address string) error {
+	var err error
+	f.platform, err = keeper.Connect(address, &http.Client{Transport: f.transport})
+	if err != nil {
+		return err
+	}
+	f.authority, err = issuer.NewAuthority("demonstration", time.Now(), keyMillis.Duration())
+	if err != nil {
+		return err
+	}
+	if err := f.store(); err != nil {
+		return err
+	}
+	for vm := range f.Members {
+		// A seat whose VM is not on the platform's list counts as free.
+		f.Fakes.Platform.VMs.Register(platform.VM{Name: vmName(vm), Domain: f.domainOf(vm)})
+	}
+	for vm := range f.Members {
+		if err := f.startMember(vm); err != nil {
+			return err
+		}
+	}
+	for vm := range f.Members {
+		if err := f.awaitReady(vm); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// store writes the document to the fake store.
+func (f *Fleet) store() error {
+	text, err := decoder.Encode(f.Document)
+	if err != nil {
+		return err
+	}
+	k := keeper.New(keeper.Config{
+		Platform:    f.platform,
+		Environment: f.Document.Environment,
+		Clock:       f.cfg.Clock,
+		Sleep:       func(ctx context.Context, _ tiller.Millis) error { return ctx.Err() },
+		Random:      func(int64) int64 { return 0 },
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), readyMillis.Duration())
+	defer cancel()
+	_, err = k.Accept(ctx, keeper.Change{
+		Environment: f.Document.Environment,
+		Operation:   "start",
+		Operator:    "demonstrator",
+		Text:        string(text),
+	})
+	return err
+}
+
+func vmName(vm int) string {
+	return fmt.Sprint("vm-", vm)
+}
+
+func (f *Fleet) domainOf(vm int) string {
+	return f.Document.Domains[vm%len(f.Document.Domains)].Name
+}
+
+// startMember starts the daemon of a VM.
+func (f *Fleet) startMember(vm int) error {
+	pair, err := f.authority.Issue(vmName(vm), time.Now(), keyMillis.Duration())
+	if err != nil {
+		return err
+	}
+	keys, err := messenger.NewKeys(f.authority.Pair().Certificate, pair.Certificate, pair.Key)
+	if err != nil {
+		return err
+	}
+	f.Members[vm], err = joiner.Start(joiner.Config{
 		Clock:           f.cfg.Clock,
-		Logger:          f.cfg.Logger.WithValues("Seat", seat),
+		Logger:          f.cfg.Logger.WithValues("VM", vmName(vm)),
+		Name:            vmName(vm),
+		Domain:          f.domainOf(vm),
+		Environment:     f.Document.Environment,
 		CallerAddress:   loopback,
 		OperatorAddress: loopback,
-		Seat:            seat,
-		Incarnation:     incarnation,
+		PeerAddress:     loopback,
+		Platform:        f.platform,
+		Keys:            keys,
 		DrainMillis:     f.cfg.DrainMillis,
-		Peers:           f.exchange.peers(seat),
+		SpreadMillis:    f.cfg.SpreadMillis,
 	})
-	if err != nil {
-		return fmt.Errorf("daemon of seat %d: %w", seat, err)
+	return err
+}
+
+// awaitReady waits until the daemon of a VM is ready.
+func (f *Fleet) awaitReady(vm int) error {
+	deadline := time.Now().Add(readyMillis.Duration())
+	for !f.Daemon(vm).IsReady() {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s is not ready after %d ms", vmName(vm), readyMillis)
+		}
+		time.Sleep(time.Millisecond)
 	}
-	f.Daemons[seat] = d
-	f.exchange.set(seat, d)
-	return d.Apply(f.Document)
+	return nil
 }
 
-// StopDaemon stops the daemon of a seat as planned.
-func (f *Fleet) StopDaemon(ctx context.Context, seat int) error {
-	err := f.Daemons[seat].Stop(ctx)
-	f.exchange.set(seat, nil)
-	f.Daemons[seat] = nil
-	return err
+// Daemon returns the daemon of a VM.
+func (f *Fleet) Daemon(vm int) *assembler.Daemon {
+	return f.Members[vm].Daemon()
 }
 
-// KillDaemon ends the daemon of a seat at once, as a crash of its process would: its peers get no more replies.
-func (f *Fleet) KillDaemon(seat int) {
-	f.exchange.set(seat, nil)
-	f.Daemons[seat].Close()
-	f.Daemons[seat] = nil
+// StartDaemon starts the daemon of a VM, which has none, and waits until it is ready.
+func (f *Fleet) StartDaemon(vm int) error {
+	if err := f.startMember(vm); err != nil {
+		return err
+	}
+	return f.awaitReady(vm)
+}
+
+// StopDaemon stops the daemon of a VM as planned.
+func (f *Fleet) StopDaemon(ctx context.Context, vm int) error {
+	err := f.Members[vm].Stop(ctx)
+	f.Members[vm] = nil
+	return err
 }
 
 // Stop stops every daemon as planned, all at the same time, and then the fakes.
 func (f *Fleet) Stop(ctx context.Context) error {
-	errs := make([]error, len(f.Daemons))
+	errs := make([]error, len(f.Members))
 	var tasks sync.WaitGroup
-	for seat, d := range f.Daemons {
-		if d != nil {
-			tasks.Go(func() { errs[seat] = d.Stop(ctx) })
+	for vm, m := range f.Members {
+		if m != nil {
+			tasks.Go(func() { errs[vm] = m.Stop(ctx) })
 		}
 	}
 	tasks.Wait()
@@ -130,10 +235,11 @@
 
 // Close ends everything at once.
 func (f *Fleet) Close() {
-	for _, d := range f.Daemons {
-		if d != nil {
-			d.Close()
+	for _, m := range f.Members {
+		if m != nil {
+			m.Close()
 		}
 	}
+	f.transport.CloseIdleConnections()
 	f.Fakes.Close()
 }
--- a/messenger/keys.go
+++ b/messenger/keys.go
@@ -52,6 +52,15 @@
 	return k, nil
 }
 
+// NewKeys returns keys that stay as they are, from PEM texts, and an error when they do not fit together.
+func NewKeys(authority, certificate, key []byte) (*Keys, error) {
+	cert, roots, err := parse(authority, certificate, key)
+	if err != nil {
+		return nil, err
+	}
+	return &Keys{loaded: cert, roots: roots}, nil
+}
+
 // Expires returns the end of the validity of the daemon's certificate.
 func (k *Keys) Expires() time.Time {
 	_ = k.refresh()
@@ -67,6 +76,9 @@
 
 // refresh reads the files when they have changed since the last time.
 func (k *Keys) refresh() error {
+	if k.files == (KeyFiles{}) {
+		return nil
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var stamps [3]fileStamp
@@ -94,13 +106,25 @@
 	if err != nil {
 		return tls.Certificate{}, nil, errors.Wrap(err, "load authority")
 	}
+	certificate, err := os.ReadFile(files.Certificate)
+	if err != nil {
+		return tls.Certificate{}, nil, errors.Wrap(err, "load certificate")
+	}
+	key, err := os.ReadFile(files.Key)
+	if err != nil {
+		return tls.Certificate{}, nil, errors.Wrap(err, "load key")
+	}
+	return parse(authority, certificate, key)
+}
+
+func parse(authority, certificate, key []byte) (tls.Certificate, *x509.CertPool, error) {
 	roots := x509.NewCertPool()
 	if !roots.AppendCertsFromPEM(authority) {
-		return tls.Certificate{}, nil, errors.Errorf("load authority: no certificate in %s", files.Authority)
+		return tls.Certificate{}, nil, errors.New("no certificate of an authority")
 	}
-	cert, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	cert, err := tls.X509KeyPair(certificate, key)
 	if err != nil {
-		return tls.Certificate{}, nil, errors.Wrap(err, "load certificate")
+		return tls.Certificate{}, nil, errors.Wrap(err, "parse certificate")
 	}
 	for _, usage := range []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth} {
 		options := x509.VerifyOptions{Roots: roots, DNSName: issuer.ServerName, KeyUsages: []x509.ExtKeyUsage{usage}}
--- a/server/doc.go
+++ b/server/doc.go
@@ -3,7 +3,7 @@
 //
 // Each refusal has a body with verdict and reason. Its status tells who can do something about it:
 //
-//	400  the request is malformed, its deadline is not in the future, or its token is missing, unknown or expired
+//	400  the request is malformed, its deadline is not in the future or too near, or its token is missing, unknown or expired
 //	404  unknown path or service
 //	405  unknown method
 //	408  the body took longer than 10 s to arrive
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -49,6 +49,11 @@
 	_ = m.registry.Register(name, metrics.NewFunctionalGauge(f))
 }
 
+// Registry returns the registry, for packages that count into one themselves.
+func (m *Metrics) Registry() metrics.Registry {
+	return m.registry
+}
+
 // Value returns the counter NAME.LABEL; 0 when nothing was counted.
 func (m *Metrics) Value(name string, label tiller.Reason) int64 {
 	if label != "" {
--- a/server/status.go
+++ b/server/status.go
@@ -8,19 +8,20 @@
 
 // statuses holds the status of each reason that has one whatever the verdict.
 var statuses = map[tiller.Reason]int{
-	tiller.ReasonBadRequest:      http.StatusBadRequest,
-	tiller.ReasonDeadlinePast:    http.StatusBadRequest,
-	tiller.ReasonTokenRequired:   http.StatusBadRequest,
-	tiller.ReasonTokenUnknown:    http.StatusBadRequest,
-	tiller.ReasonTokenExpired:    http.StatusBadRequest,
-	tiller.ReasonUnknownService:  http.StatusNotFound,
-	tiller.ReasonDuplicateID:     http.StatusConflict,
-	tiller.ReasonTokenInUse:      http.StatusConflict,
-	tiller.ReasonTokenIssuerGone: http.StatusGone,
-	tiller.ReasonHarmful:         http.StatusUnprocessableEntity,
-	tiller.ReasonQueueFull:       http.StatusTooManyRequests,
-	tiller.ReasonQueueTimeout:    http.StatusTooManyRequests,
-	tiller.ReasonInternal:        http.StatusInternalServerError,
+	tiller.ReasonBadRequest:       http.StatusBadRequest,
+	tiller.ReasonDeadlinePast:     http.StatusBadRequest,
+	tiller.ReasonDeadlineTooShort: http.StatusBadRequest,
+	tiller.ReasonTokenRequired:    http.StatusBadRequest,
+	tiller.ReasonTokenUnknown:     http.StatusBadRequest,
+	tiller.ReasonTokenExpired:     http.StatusBadRequest,
+	tiller.ReasonUnknownService:   http.StatusNotFound,
+	tiller.ReasonDuplicateID:      http.StatusConflict,
+	tiller.ReasonTokenInUse:       http.StatusConflict,
+	tiller.ReasonTokenIssuerGone:  http.StatusGone,
+	tiller.ReasonHarmful:          http.StatusUnprocessableEntity,
+	tiller.ReasonQueueFull:        http.StatusTooManyRequests,
+	tiller.ReasonQueueTimeout:     http.StatusTooManyRequests,
+	tiller.ReasonInternal:         http.StatusInternalServerError,
 }
 
 // statusOf returns the HTTP status of a refusal.
