--- a/cmd/tillerload/conductor/conductor.go
+++ b/cmd/tillerload/conductor/conductor.go
@@ -32,6 +32,7 @@
 
 	// fleet is nil when the daemons run elsewhere.
 	fleet    *embedder.Fleet
+	injector *injector.Injector
 	rotation *sender.Rotation
 	client   *sender.Client
 }
@@ -104,6 +105,7 @@
 		c.end()
 		return err
 	}
+	c.injector = injector.New(c.cfg.Fault, c.fleet, c.log)
 	return nil
 }
 
--- a/cmd/tillerload/conductor/stage.go
+++ b/cmd/tillerload/conductor/stage.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/carawaytiller/carawaytiller/cmd/tillerload/injector"
 	"github.com/carawaytiller/carawaytiller/cmd/tillerload/planner"
 	"github.com/carawaytiller/carawaytiller/cmd/tillerload/reporter"
 	"github.com/carawaytiller/carawaytiller/cmd/tillerload/sender"
@@ -116,7 +115,7 @@
 		if c.stages.list[i].name != stageDuring {
 			continue
 		}
-		if err := injector.New(c.cfg.Fault, c.fleet, c.log).Run(ctx); err != nil {
+		if err := c.injector.Run(ctx); err != nil {
 			return err
 		}
 	}
--- a/cmd/tillerload/injector/injector.go
+++ b/cmd/tillerload/injector/injector.go
@@ -37,10 +37,14 @@
 	end   func() error
 }
 
-// New returns an Injector. What it finds wrong itself is added to log.
+// New returns an Injector. What it finds wrong itself is added to log. Poison is in force at once, so that
+// no poison request succeeds and is taken to be harmless; the load has such requests only for the time of the fault.
 func New(fault Fault, fleet *embedder.Fleet, log *inspector.Log) *Injector {
 	in := &Injector{fault: fault, fleet: fleet, log: log}
 	in.action = in.actions()[fault.Name]
+	if fault.Name == Poison {
+		in.setFaults("", faker.UpstreamFaults{Poison: planner.PoisonTerm})
+	}
 	return in
 }
 
@@ -50,7 +54,6 @@
 		Straggler: in.constant("", faker.UpstreamFaults{StragglerEvery: stragglerEvery, StragglerFactor: stragglerFactor}),
 		Shed:      in.constant(in.fault.Domain, faker.UpstreamFaults{Shed: true}),
 		Mismatch:  in.constant(in.fault.Domain, faker.UpstreamFaults{Mismatch: true}),
-		Poison:    in.constant("", faker.UpstreamFaults{Poison: planner.PoisonTerm}),
 		Silent: {
 			pulse: func() {
 				// Only a change to Silent silences the connections that are open then.
