--- a/reducer/admit.go
+++ b/reducer/admit.go
@@ -46,8 +46,23 @@
 }
 
 // examine checks what can be checked before anything is done for a query, and completes the query
-// from the document. It returns a refusal, or nil.
+// from the document. It returns a refusal, or nil. A token may have been spent on an earlier
+// run, so that only its issuer can say NotRun, and only while it is unspent.
 func (s *State) examine(q *query) *tiller.Refusal {
+	token, hasToken := spender.Parse(q.tiller.Token)
+	q.key.spent = hasToken && !q.tiller.Repeatable && q.from != LocalCaller && token.Seat == q.from
+	if _, ok := s.queries[q.key]; ok {
+		// The first query under this identifier may run.
+		return refusal(q, tiller.MayHaveRun, tiller.ReasonDuplicateID, "this identifier is in flight")
+	}
+	r := s.examineContent(q)
+	if r != nil && hasToken && !q.key.spent && !s.tokens.Unspent(q.tiller.Token) {
+		r.Verdict = tiller.MayHaveRun
+	}
+	return r
+}
+
+func (s *State) examineContent(q *query) *tiller.Refusal {
 	if s.stopping {
 		return refusal(q, tiller.NotRun, tiller.ReasonStopping, "this daemon stops")
 	}
@@ -66,14 +81,7 @@
 	if r := examineToken(q); r != nil {
 		return r
 	}
-	if r := s.examineDeadline(q, sv); r != nil {
-		return r
-	}
-	if _, ok := s.queries[q.key]; ok {
-		// The first query under this identifier may run.
-		return refusal(q, tiller.MayHaveRun, tiller.ReasonDuplicateID, "this identifier is in flight")
-	}
-	return nil
+	return s.examineDeadline(q, sv)
 }
 
 func examineToken(q *query) *tiller.Refusal {
@@ -86,11 +94,9 @@
 	if q.tiller.Token == "" {
 		return refusal(q, tiller.NotRun, tiller.ReasonTokenRequired, "a request that is not repeatable needs a token")
 	}
-	token, ok := spender.Parse(q.tiller.Token)
-	if !ok {
+	if _, ok := spender.Parse(q.tiller.Token); !ok {
 		return refusal(q, tiller.NotRun, tiller.ReasonTokenUnknown, "the token is malformed")
 	}
-	q.key.spent = q.from != LocalCaller && token.Seat == q.from
 	return nil
 }
 
--- a/reducer/document.go
+++ b/reducer/document.go
@@ -56,9 +56,7 @@
 func (s *State) listUpstreams() {
 	for name, u := range s.upstreams {
 		_, u.listed = s.catalog.upstreams[name]
-		if !u.listed && len(u.members) == 0 {
-			delete(s.upstreams, name)
-		}
+		s.prune(name, u)
 	}
 	for _, spec := range s.document.Upstreams {
 		u, ok := s.upstreams[spec.Name]
@@ -75,6 +73,15 @@
 	}
 }
 
+// prune forgets an upstream that the document does not list. One that is draining is
+// remembered for a while, because another revision may list it again.
+func (s *State) prune(name string, u *upstream) {
+	isDraining := u.draining && s.now-u.drainingAt < drainMemoryMillis
+	if !u.listed && len(u.members) == 0 && !isDraining {
+		delete(s.upstreams, name)
+	}
+}
+
 func (s *State) listServices() {
 	before := s.services
 	s.services = make(map[string]*service, len(s.document.Services))
--- a/reducer/failed.go
+++ b/reducer/failed.go
@@ -26,6 +26,10 @@
 	if e.Verdict != tiller.NotRun {
 		q.mayHaveRun = true
 	}
+	// The end of the last attempt may forget the upstream, but not one that is draining.
+	if e.Reason == tiller.ReasonDraining {
+		s.drain(a.member.upstream)
+	}
 	s.limitAfter(a, e)
 	s.end(id, a)
 	failed := q.lose(id, a, e.Reason)
@@ -75,8 +79,6 @@
 func (s *State) learn(a attempt, e AttemptFailed) {
 	m := a.member
 	switch e.Reason {
-	case tiller.ReasonDraining:
-		s.drain(m.upstream)
 	case tiller.ReasonNoSnapshot, tiller.ReasonNoShard:
 		m.lose(a.query.running.plan, s.now)
 	case tiller.ReasonConnectFailed:
--- /dev/null
+++ b/reducer/machine_test.go
@@ -0,0 +1,240 @@
+package reducer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/reducer"
+	"github.com/carawaytiller/carawaytiller/tracker"
+)
+
+// machine gives random events to Step and keeps what is outstanding between them.
+type machine struct {
+	*sim
+	rt       *rapid.T
+	held     *holder
+	attempts []reducer.SendAttempt
+	forwards []reducer.Forward
+	tokens   []string
+	queries  []reducer.QueryArrived
+	revision int64
+	stopped  int
+}
+
+func newMachine(t *testing.T, rt *rapid.T) *machine {
+	m := &machine{rt: rt, held: &holder{}, revision: 1}
+	m.lease(2)
+	d := cluster{shards: 6, upstreams: 5, replicas: 2, slots: 3, coldSlots: 1}.document()
+	d.Services[0].QueueLimit = 4
+	d.Services[0].WaitFor = rapid.SampledFrom([]tiller.WaitFor{tiller.WaitForCoverage, tiller.WaitForTail}).Draw(rt, "wait for")
+	cfg := m.held.config()
+	cfg.OnLeaseMessage = nil
+	m.sim = newSim(t, 1, d, cfg)
+	m.manual = true
+	m.do(reducer.SeatTaken{Stamp: m.stamp(), Seat: 7, Incarnation: 1})
+	return m
+}
+
+// do gives an event to the reducer and notes what it leaves outstanding.
+func (m *machine) do(e reducer.Event) {
+	m.step(e)
+	require.Empty(m.rt, m.inspect.faults)
+	m.attempts = append(m.attempts, effectsOf[reducer.SendAttempt](m.last)...)
+	m.forwards = append(m.forwards, effectsOf[reducer.Forward](m.last)...)
+	m.stopped += len(effectsOf[reducer.Stopped](m.last))
+	for _, i := range effectsOf[reducer.IssueToken](m.last) {
+		m.tokens = append(m.tokens, i.Token)
+	}
+}
+
+func (m *machine) lease(kind int) {
+	switch kind {
+	case 0:
+		m.held.holding = tracker.Holding{Owner: 3}
+	case 1:
+		m.held.holding = tracker.Holding{Owner: -1}
+	default:
+		now := tiller.Millis(0)
+		if m.sim != nil {
+			now = m.now
+		}
+		m.held.holding = tracker.Holding{Owned: true, StartAt: now, ValidUntil: now + 1_200, Owner: 7}
+	}
+}
+
+func (m *machine) ask(rt *rapid.T) {
+	caller := rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "caller")
+	q := tiller.Query{
+		Caller: caller, Service: "s", Route: "search", Repeatable: true,
+		ID:             tiller.RequestID(fmt.Sprint(caller, rapid.IntRange(0, 3).Draw(rt, "id"), "-", m.nextRef/4)),
+		Body:           []byte(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(rt, "body")),
+		Deadline:       m.now + tiller.Millis(rapid.IntRange(0, 600).Draw(rt, "deadline")),
+		NeededCoverage: rapid.SampledFrom([]float64{-1, 0, 0.5, 1}).Draw(rt, "coverage"),
+	}
+	from := rapid.SampledFrom([]int{reducer.LocalCaller, reducer.LocalCaller, 2}).Draw(rt, "from")
+	if len(m.tokens) > 0 && rapid.IntRange(0, 2).Draw(rt, "print") == 0 {
+		q.Route, q.Repeatable, q.Token = "print", false, rapid.SampledFrom(m.tokens).Draw(rt, "token")
+		q.Body = []byte(q.Token)
+		q.ID = tiller.RequestID(fmt.Sprint("print ", caller, q.Token, rapid.IntRange(0, 1).Draw(rt, "resend")))
+	}
+	m.nextRef++
+	e := reducer.QueryArrived{Stamp: m.stamp(), Query: q, From: from, Ref: m.nextRef}
+	m.queries = append(m.queries, e)
+	m.do(e)
+}
+
+// takeAttempt removes a random outstanding attempt; it may be one that was cancelled.
+func (m *machine) takeAttempt(rt *rapid.T) (reducer.SendAttempt, bool) {
+	if len(m.attempts) == 0 {
+		return reducer.SendAttempt{}, false
+	}
+	i := rapid.IntRange(0, len(m.attempts)-1).Draw(rt, "attempt")
+	a := m.attempts[i]
+	m.attempts = append(m.attempts[:i], m.attempts[i+1:]...)
+	return a, true
+}
+
+func (m *machine) respondTo(rt *rapid.T) {
+	a, ok := m.takeAttempt(rt)
+	if !ok {
+		return
+	}
+	resp := tiller.SearchResponse{
+		ID: a.Request.ID, Attempt: a.Request.Attempt, Snapshot: a.Request.Snapshot,
+		Incarnation: int64(rapid.IntRange(1, 2).Draw(rt, "incarnation")), Cold: rapid.IntRange(0, 4).Draw(rt, "cold") == 0,
+	}
+	for _, sh := range a.Request.Shards {
+		resp.Shards = append(resp.Shards, tiller.ShardItems{Shard: sh, Items: itemsOf(resp.Snapshot, sh)})
+	}
+	if rapid.IntRange(0, 5).Draw(rt, "mismatch") == 0 {
+		resp.Snapshot = "n3"
+	}
+	m.do(reducer.ResponseArrived{Stamp: m.stamp(), Attempt: a.Request.Attempt, Response: resp})
+}
+
+func (m *machine) failOne(rt *rapid.T) {
+	a, ok := m.takeAttempt(rt)
+	if !ok {
+		return
+	}
+	type end struct {
+		verdict tiller.Verdict
+		reason  tiller.Reason
+	}
+	e := rapid.SampledFrom([]end{
+		{tiller.NotRun, tiller.ReasonShed},
+		{tiller.NotRun, tiller.ReasonDraining},
+		{tiller.NotRun, tiller.ReasonNoSnapshot},
+		{tiller.NotRun, tiller.ReasonConnectFailed},
+		{tiller.NotRun, tiller.ReasonLeaseExpired},
+		{tiller.MayHaveRun, tiller.ReasonConnectionLost},
+		{tiller.MayHaveRun, tiller.ReasonSilent},
+		{tiller.MayHaveRun, tiller.ReasonTimeout},
+		{tiller.Ran, tiller.ReasonUpstreamError},
+	}).Draw(rt, "end")
+	m.do(reducer.AttemptFailed{Stamp: m.stamp(), Attempt: a.Request.Attempt, Verdict: e.verdict, Reason: e.reason})
+}
+
+func (m *machine) upstreamEvent(rt *rapid.T) {
+	// The runner knows only the upstreams of the document.
+	name := rapid.SampledFrom(m.inspect.document.Upstreams).Draw(rt, "upstream").Name
+	if rapid.Bool().Draw(rt, "restart") {
+		m.do(reducer.UpstreamRestarted{Stamp: m.stamp(), Upstream: name, Lost: rapid.Bool().Draw(rt, "lost")})
+		return
+	}
+	m.do(reducer.LoadReported{
+		Stamp: m.stamp(), Upstream: name, InFlight: rapid.IntRange(0, 9).Draw(rt, "load"),
+		Draining: rapid.IntRange(0, 3).Draw(rt, "draining") == 0,
+	})
+}
+
+func (m *machine) changeDocument(rt *rapid.T) {
+	d := cluster{shards: 6, upstreams: 5, replicas: 2, slots: rapid.IntRange(2, 3).Draw(rt, "slots"), coldSlots: 1}.document()
+	m.revision += int64(rapid.IntRange(-1, 2).Draw(rt, "revision"))
+	d.Revision = m.revision
+	d.Domains[0].Out = rapid.Bool().Draw(rt, "out")
+	d.Upstreams[4].Leaving = rapid.Bool().Draw(rt, "leaving")
+	d.Services[0].QueueLimit = 4
+	d.Services[0].Current = rapid.SampledFrom([]string{"n1", "n2"}).Draw(rt, "current")
+	if rapid.IntRange(0, 3).Draw(rt, "removed") == 0 {
+		d.Upstreams = d.Upstreams[:4]
+	}
+	if rapid.IntRange(0, 9).Draw(rt, "no service") == 0 {
+		d.Services = nil
+	}
+	m.do(reducer.DocumentApplied{Stamp: m.stamp(), Document: d})
+}
+
+func (m *machine) peerEvent(rt *rapid.T) {
+	if len(m.forwards) == 0 {
+		return
+	}
+	f := m.forwards[0]
+	m.forwards = m.forwards[1:]
+	switch rapid.IntRange(0, 3).Draw(rt, "peer") {
+	case 0:
+		m.peerReplies(f, notOwner(rapid.IntRange(-1, 5).Draw(rt, "owner")))
+	case 1:
+		m.peerReplies(f, tiller.Refusal{Verdict: tiller.NotRun, Reason: tiller.ReasonQueueFull})
+	case 2:
+		m.step(reducer.PeerFailed{Stamp: m.stamp(), Forward: f.Forward, Verdict: rapid.SampledFrom([]tiller.Verdict{tiller.NotRun, tiller.MayHaveRun}).Draw(rt, "verdict")})
+	case 3:
+		m.step(reducer.CallerGone{Stamp: m.stamp(), Caller: f.Query.Caller, ID: f.Query.ID})
+	}
+	m.forwards = append(m.forwards, effectsOf[reducer.Forward](m.last)...)
+	m.attempts = append(m.attempts, effectsOf[reducer.SendAttempt](m.last)...)
+	require.Empty(m.rt, m.inspect.faults)
+}
+
+func (m *machine) callerGone(rt *rapid.T) {
+	if len(m.queries) > 0 {
+		q := rapid.SampledFrom(m.queries).Draw(rt, "gone")
+		m.do(reducer.CallerGone{Stamp: m.stamp(), Caller: q.Query.Caller, ID: q.Query.ID, Ref: q.Ref})
+	}
+}
+
+func (m *machine) passTime(rt *rapid.T) {
+	m.now += tiller.Millis(rapid.SampledFrom([]int{0, 1, 3, 20, 200}).Draw(rt, "pass"))
+	m.do(reducer.TimeAdvanced{Stamp: m.stamp()})
+}
+
+// Whatever happens in whatever order, the invariants hold after each step; and in the end every
+// query has its reply, nothing is left behind and a planned stop comes to its end.
+func TestStepKeepsInvariants(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newMachine(t, rt)
+		rt.Repeat(map[string]func(*rapid.T){
+			"ask":      m.ask,
+			"ask more": m.ask,
+			"respond":  m.respondTo,
+			"respond2": m.respondTo,
+			"fail":     m.failOne,
+			"time":     m.passTime,
+			"upstream": m.upstreamEvent,
+			"document": m.changeDocument,
+			"peer":     m.peerEvent,
+			"gone":     m.callerGone,
+			"token":    func(*rapid.T) { m.do(reducer.TokenRequested{Stamp: m.stamp()}) },
+			"lease":    func(rt *rapid.T) { m.lease(rapid.IntRange(0, 4).Draw(rt, "lease")) },
+		})
+		m.do(reducer.StopRequested{Stamp: m.stamp()})
+		for range 100 {
+			m.now += 20
+			m.do(reducer.TimeAdvanced{Stamp: m.stamp()})
+		}
+		m.inspect.checkReplied()
+		require.Empty(rt, m.inspect.faults)
+		st := m.state.Status(m.now)
+		require.Zero(rt, st.Queries)
+		require.Zero(rt, st.Attempts)
+		require.Equal(rt, 1, m.stopped)
+		for _, u := range st.Upstreams {
+			require.Zero(rt, u.InFlight)
+			require.Zero(rt, u.Waiting)
+		}
+	})
+}
--- a/reducer/poison.go
+++ b/reducer/poison.go
@@ -52,6 +52,13 @@
 	}
 }
 
+// forgive drops the losses of a digest that are not attributed yet, because a request with it has succeeded since.
+func (u *upstream) forgive(digest uint64) {
+	if len(u.lost) > 0 {
+		u.lost = slices.DeleteFunc(u.lost, func(l lostDigest) bool { return l.digest == digest })
+	}
+}
+
 // block refuses the queries that have a digest which is blocked from now on.
 func (s *State) block(d uint64) {
 	s.count(CountBlocked, tiller.ReasonHarmful, 1)
--- a/reducer/token.go
+++ b/reducer/token.go
@@ -67,6 +67,8 @@
 	case own || q.from != LocalCaller:
 		s.refuseSpent(q, tiller.ReasonTokenIssuerGone, "the process that issued the token is gone")
 	default:
+		// Only the issuer knows whether the token was spent before.
+		q.mayHaveRun = true
 		q.forwarding.toIssuer = true
 		s.forwardTo(q, token.Seat)
 	}
--- a/reducer/unit.go
+++ b/reducer/unit.go
@@ -147,9 +147,7 @@
 	s.disarm(&m.quotaTimer)
 	up := m.upstream
 	up.members = slices.DeleteFunc(up.members, func(other *member) bool { return other == m })
-	if len(up.members) == 0 && !up.listed {
-		delete(s.upstreams, up.spec.Name)
-	}
+	s.prune(up.spec.Name, up)
 }
 
 // limitQueue divides the service's queue among its units; parked queries take places in it.
--- a/reducer/upstream.go
+++ b/reducer/upstream.go
@@ -6,6 +6,8 @@
 	// drainHoldMillis is the time after an upstream's last sign of draining during which
 	// a load report that says otherwise is taken to be stale.
 	drainHoldMillis = 30 * tiller.Second
+	// drainMemoryMillis is the time for which a draining upstream is remembered that the document does not list.
+	drainMemoryMillis = 10 * tiller.Minute
 	// lossMemoryMillis is the time during which a lost connection is matched with later signs of a restart.
 	lossMemoryMillis = 5 * tiller.Second
 	// lossMemory bounds the number of digests kept for that.
@@ -46,13 +48,13 @@
 	if !ok {
 		return
 	}
+	u.draining = false
 	s.restart(u, e.Lost)
 }
 
 // restart returns the limits of an upstream to the cold allowance.
 func (s *State) restart(u *upstream, lost bool) {
 	s.count(CountRestart, "", 1)
-	u.draining = false
 	if lost || len(u.lost) > 0 {
 		s.lose(u, lost)
 	}
@@ -62,7 +64,8 @@
 	}
 }
 
-// noteResponse takes the signs of a restart from a response.
+// noteResponse takes the signs of a restart from a response. They do not end a drain, because the request
+// was sent before the upstream said that it is draining.
 func (s *State) noteResponse(u *upstream, r tiller.SearchResponse) {
 	restarted := u.incarnation != 0 && r.Incarnation > u.incarnation
 	u.incarnation = max(u.incarnation, r.Incarnation)
--- /dev/null
+++ b/reducer/upstream_test.go
@@ -0,0 +1,169 @@
+package reducer_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/reducer"
+)
+
+// newOne returns a manual sim with one upstream and one shard.
+func newOne(t *testing.T, slots int) *sim {
+	s := newSim(t, 1, cluster{shards: 1, upstreams: 1, replicas: 1, slots: slots}.document(), reducer.Config{})
+	s.manual = true
+	return s
+}
+
+// warmUp answers queries until the upstream's limit is its quota.
+func (s *sim) warmUp() {
+	for range 20 {
+		s.ask(s.search("c", 1000))
+		s.respond(the[reducer.SendAttempt](s))
+	}
+}
+
+func (s *sim) respondWith(a reducer.SendAttempt, incarnation int64, cold bool) {
+	s.step(reducer.ResponseArrived{Stamp: s.stamp(), Attempt: a.Request.Attempt, Response: tiller.SearchResponse{
+		ID: a.Request.ID, Attempt: a.Request.Attempt, Snapshot: a.Request.Snapshot, Incarnation: incarnation, Cold: cold,
+		Shards: []tiller.ShardItems{{Shard: "s0"}},
+	}})
+}
+
+// A response sent before a drain, which shows a new incarnation, once opened the draining upstream again.
+func TestLateResponseDoesNotEndADrain(t *testing.T) {
+	s := newOne(t, 4)
+	s.warmUp()
+	s.ask(s.search("c", 1000))
+	a := the[reducer.SendAttempt](s)
+	s.step(reducer.LoadReported{Stamp: s.stamp(), Upstream: "u0", Draining: true})
+	s.respondWith(a, 2, false)
+	s.ask(s.search("c", 1000))
+	require.Empty(t, effectsOf[reducer.SendAttempt](s.last))
+	s.step(reducer.LoadReported{Stamp: s.stamp(), Upstream: "u0"})
+	s.ask(s.search("c", 1000))
+	require.Empty(t, effectsOf[reducer.SendAttempt](s.last))
+	s.step(reducer.UpstreamRestarted{Stamp: s.stamp(), Upstream: "u0"})
+	s.ask(s.search("c", 1000))
+	the[reducer.SendAttempt](s)
+	require.Empty(t, s.inspect.faults)
+}
+
+// The drain of an upstream that a revision does not list was once forgotten, and the next revision opened it.
+func TestDrainOutlivesARevision(t *testing.T) {
+	s := newSim(t, 1, small.document(), reducer.Config{})
+	s.manual = true
+	listed := s.document.Upstreams
+	s.ask(s.search("c", 1000))
+	a := the[reducer.SendAttempt](s)
+	s.change(func(d *tiller.Document) { d.Upstreams = keepOther(listed, a.Upstream) })
+	s.fail(a, tiller.NotRun, tiller.ReasonDraining)
+	s.change(func(d *tiller.Document) { d.Upstreams = listed })
+	for range 10 {
+		s.ask(s.search("c", 1000))
+		for _, sent := range effectsOf[reducer.SendAttempt](s.last) {
+			require.NotEqual(t, a.Upstream, sent.Upstream)
+			s.respond(sent)
+		}
+	}
+	require.Empty(t, s.inspect.faults)
+}
+
+func keepOther(listed []tiller.Upstream, name string) []tiller.Upstream {
+	var kept []tiller.Upstream
+	for _, u := range listed {
+		if u.Name != name {
+			kept = append(kept, u)
+		}
+	}
+	return kept
+}
+
+// Each sign of a restart must return the limit to the cold allowance.
+func TestSignsOfARestart(t *testing.T) {
+	tests := []struct {
+		name string
+		sign func(*sim, reducer.SendAttempt)
+	}{
+		{"new incarnation", func(s *sim, a reducer.SendAttempt) { s.respondWith(a, 2, false) }},
+		{"cold response", func(s *sim, a reducer.SendAttempt) { s.respondWith(a, 1, true) }},
+		{"connection refused", func(s *sim, _ reducer.SendAttempt) {
+			s.step(reducer.UpstreamRestarted{Stamp: s.stamp(), Upstream: "u0"})
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newOne(t, 4)
+			s.warmUp()
+			require.Equal(t, 4, s.state.Status(s.now).Upstreams[0].Limit)
+			s.ask(s.search("c", 1000))
+			test.sign(s, the[reducer.SendAttempt](s))
+			u := s.state.Status(s.now).Upstreams[0]
+			require.Equal(t, 1, u.Limit)
+			require.True(t, u.Cold)
+		})
+	}
+}
+
+// Shedding must halve the limit, and a report of too much load must lower it.
+func TestLimitFallsUnderLoad(t *testing.T) {
+	s := newOne(t, 8)
+	for range 40 {
+		s.ask(s.search("c", 1000))
+		s.respond(the[reducer.SendAttempt](s))
+	}
+	limit := func() int { return s.state.Status(s.now).Upstreams[0].Limit }
+	require.Equal(t, 8, limit())
+	s.step(reducer.LoadReported{Stamp: s.stamp(), Upstream: "u0", InFlight: 8})
+	require.Equal(t, 8, limit())
+	s.step(reducer.LoadReported{Stamp: s.stamp(), Upstream: "u0", InFlight: 10})
+	require.Equal(t, 6, limit())
+	s.ask(s.search("c", 1000))
+	s.fail(the[reducer.SendAttempt](s), tiller.NotRun, tiller.ReasonShed)
+	require.Equal(t, 3, limit())
+}
+
+// A response that reveals the restart after which its own request was sent must not be blamed on that request:
+// the step once went on with a query that it had just refused.
+func TestResponseIsNotBlamedOnItsOwnRequest(t *testing.T) {
+	s := newSim(t, 1, small.document(), reducer.Config{})
+	s.manual = true
+	q := s.search("c", 5000)
+	q.Body = []byte("same")
+	ask := func() reducer.SendAttempt {
+		s.ask(q)
+		for len(effectsOf[reducer.SendAttempt](s.last)) == 0 {
+			s.pass(1)
+		}
+		return the[reducer.SendAttempt](s)
+	}
+	s.respond(ask())
+	first, second := ask(), ask()
+	require.Equal(t, first.Upstream, second.Upstream)
+	s.fail(first, tiller.MayHaveRun, tiller.ReasonConnectionLost)
+	resp := tiller.SearchResponse{ID: second.Request.ID, Attempt: second.Request.Attempt, Snapshot: "n1", Incarnation: 9}
+	for _, sh := range second.Request.Shards {
+		resp.Shards = append(resp.Shards, tiller.ShardItems{Shard: sh})
+	}
+	s.step(reducer.ResponseArrived{Stamp: s.stamp(), Attempt: second.Request.Attempt, Response: resp})
+	require.NotNil(t, the[reducer.Reply](s).Result.Answer)
+}
+
+// A refusal of a resend must not say NotRun when the token was spent on a run, or when that is not known.
+func TestRefusedResendIsNotReportedAsNotRun(t *testing.T) {
+	s := newSim(t, 1, small.document(), reducer.Config{})
+	s.manual = true
+	q := s.print(s.token())
+	late := func(q tiller.Query) tiller.Verdict {
+		q.Deadline = s.now
+		s.ask(q)
+		return the[reducer.Reply](s).Result.Refusal.Verdict
+	}
+	require.Equal(t, tiller.NotRun, late(q), "unspent")
+	s.ask(q)
+	s.respond(the[reducer.SendAttempt](s))
+	require.Equal(t, tiller.MayHaveRun, late(q), "spent")
+	q.Token = "3.1.ff"
+	require.Equal(t, tiller.MayHaveRun, late(q), "of another process")
+}
--- a/reducer/voters.go
+++ b/reducer/voters.go
@@ -18,14 +18,14 @@
 	if s.cfg.SetUnits == nil {
 		return
 	}
-	seats := router.Seats(s.document)
+	ranker := router.NewRanker(router.Seats(s.document))
 	var units []tracker.Unit
 	for _, spec := range s.document.Services {
 		sv := s.services[spec.Name]
 		region := router.HomeRegion(spec, sv.upstreams, s.regionOf)
 		for index := range sv.owners {
 			id := tracker.UnitID{Service: spec.Name, Index: index}
-			units = append(units, tracker.Unit{ID: id, Voters: s.rankVoters(id, region, seats)})
+			units = append(units, tracker.Unit{ID: id, Voters: s.rankVoters(id, region, ranker)})
 		}
 	}
 	s.leaseVersion++
@@ -33,11 +33,11 @@
 }
 
 // rankVoters returns the voters of a unit, ranked again only when the epoch or the home region has changed.
-func (s *State) rankVoters(id tracker.UnitID, region string, seats []router.Seat) []int {
+func (s *State) rankVoters(id tracker.UnitID, region string, ranker *router.Ranker) []int {
 	set, ok := s.voters[id]
 	if !ok || set.epoch != s.epoch || set.region != region {
 		set = voterSet{epoch: s.epoch, region: region}
-		set.seats = router.Voters(id.Service, id.Index, region, seats)
+		set.seats = ranker.Voters(id.Service, id.Index, region)
 		s.voters[id] = set
 	}
 	return set.seats
@@ -52,7 +52,7 @@
 		return set.seats
 	}
 	region := router.HomeRegion(u.service.spec, u.service.upstreams, s.regionOf)
-	return s.rankVoters(u.id, region, router.Seats(s.document))
+	return s.rankVoters(u.id, region, router.NewRanker(router.Seats(s.document)))
 }
 
 func (s *State) regionOf(domain string) string {
--- a/router/voters.go
+++ b/router/voters.go
@@ -27,88 +27,120 @@
 	return seats
 }
 
+// Ranker ranks the seats of a document for its units. It keeps the seats by region, so that
+// ranking costs as much as the home region has seats. It is immutable.
+type Ranker struct {
+	regions map[string][]place
+	all     []place
+	// domains is the number of failure domains.
+	domains int
+}
+
+// place is a seat with the number of its failure domain.
+type place struct {
+	seat   int
+	domain int
+}
+
+// ranked is a place with its hash for a unit; the greatest hash ranks first. Seats of a document have equal weights,
+// for which the order of the hashes is that of Rank.
+type ranked struct {
+	place
+	hash uint64
+}
+
+// NewRanker returns a Ranker for seats of equal weight.
+func NewRanker(seats []Seat) *Ranker {
+	r := &Ranker{regions: make(map[string][]place), all: make([]place, 0, len(seats))}
+	domains := make(map[string]int)
+	for _, s := range seats {
+		domain, ok := domains[s.Domain]
+		if !ok {
+			domain = len(domains)
+			domains[s.Domain] = domain
+		}
+		p := place{seat: s.Number, domain: domain}
+		r.regions[s.Region] = append(r.regions[s.Region], p)
+		r.all = append(r.all, p)
+	}
+	r.domains = len(domains)
+	return r
+}
+
 // Voters returns the seats that vote on the lease of a unit, in rank order. Seats of the home region come
 // before all others, so that a region cut off from the others keeps its services; among them,
-// seats in different failure domains come first.
-func Voters(service string, index int, region string, seats []Seat) []int {
+// seats in different failure domains come first. All seats vote when there are no more than VoterCount.
+func (r *Ranker) Voters(service string, index int, region string) []int {
 	key := unitHash(service, index)
-	if len(seats) <= VoterCount {
-		return numbers(Rank(key, seats))
+	if len(r.all) <= VoterCount {
+		return numbers(byRank(key, r.all))
 	}
-	home, rest := make([]Seat, 0, len(seats)), make([]Seat, 0, len(seats))
-	for _, s := range seats {
-		if s.Region == region {
-			home = append(home, s)
-		} else {
-			rest = append(rest, s)
-		}
+	voters := r.appendBest(nil, key, r.regions[region])
+	if len(voters) < VoterCount {
+		voters = r.appendBest(voters, key, r.all)
 	}
-	voters := appendBest(nil, key, home)
-	voters = appendBest(voters, key, rest)
 	return numbers(voters)
 }
 
 // appendBest adds the best ranked seats until there are enough voters: first the best of each
 // failure domain that has no voter yet, then the best of what is left.
-func appendBest(voters []Seat, key uint64, seats []Seat) []Seat {
-	first := make(map[string]ranked)
+func (r *Ranker) appendBest(voters []ranked, key uint64, places []place) []ranked {
+	first := make([]ranked, r.domains)
 	best := make([]ranked, 0, VoterCount+1)
-	for _, s := range seats {
-		r := ranked{seat: s, hash: seatHash(key, s.Number)}
-		if old, ok := first[s.Domain]; !ok || r.before(old) {
-			first[s.Domain] = r
+	for _, p := range places {
+		one := ranked{place: p, hash: seatHash(key, p.seat)}
+		if one.hash > first[p.domain].hash {
+			first[p.domain] = one
 		}
-		best = insertBest(best, r)
+		best = insertBest(best, one)
 	}
-	byDomain := make([]ranked, 0, len(first))
-	for _, r := range first {
-		byDomain = append(byDomain, r)
-	}
-	slices.SortFunc(byDomain, ranked.compare)
-	for _, r := range byDomain {
-		if !slices.ContainsFunc(voters, func(v Seat) bool { return v.Domain == r.seat.Domain }) {
-			voters = appendVoter(voters, r.seat)
+	first = slices.DeleteFunc(first, func(one ranked) bool { return one.hash == 0 })
+	slices.SortFunc(first, ranked.compare)
+	for _, one := range first {
+		if !slices.ContainsFunc(voters, func(v ranked) bool { return v.domain == one.domain }) {
+			voters = appendVoter(voters, one)
 		}
 	}
-	for _, r := range best {
-		voters = appendVoter(voters, r.seat)
+	for _, one := range best {
+		voters = appendVoter(voters, one)
 	}
 	return voters
 }
 
-func appendVoter(voters []Seat, s Seat) []Seat {
-	if len(voters) == VoterCount || slices.Contains(voters, s) {
+func appendVoter(voters []ranked, one ranked) []ranked {
+	if len(voters) == VoterCount || slices.Contains(voters, one) {
 		return voters
 	}
-	return append(voters, s)
+	return append(voters, one)
 }
 
 // insertBest keeps the best seats in order.
-func insertBest(best []ranked, r ranked) []ranked {
-	if len(best) == VoterCount && !r.before(best[VoterCount-1]) {
+func insertBest(best []ranked, one ranked) []ranked {
+	if len(best) == VoterCount && one.hash < best[VoterCount-1].hash {
 		return best
 	}
-	at, _ := slices.BinarySearchFunc(best, r, ranked.compare)
-	best = slices.Insert(best, at, r)
+	at, _ := slices.BinarySearchFunc(best, one, ranked.compare)
+	best = slices.Insert(best, at, one)
 	return best[:min(len(best), VoterCount)]
 }
 
-// ranked is a seat of equal weight with its hash; the greatest hash ranks first.
-type ranked struct {
-	seat Seat
-	hash uint64
+func byRank(key uint64, places []place) []ranked {
+	all := make([]ranked, len(places))
+	for i, p := range places {
+		all[i] = ranked{place: p, hash: seatHash(key, p.seat)}
+	}
+	slices.SortFunc(all, ranked.compare)
+	return all
 }
 
-func (r ranked) before(other ranked) bool { return r.compare(other) < 0 }
-
-func (r ranked) compare(other ranked) int {
-	return cmp.Or(cmp.Compare(other.hash, r.hash), cmp.Compare(r.seat.Number, other.seat.Number))
+func (one ranked) compare(other ranked) int {
+	return cmp.Or(cmp.Compare(other.hash, one.hash), cmp.Compare(one.seat, other.seat))
 }
 
-func numbers(seats []Seat) []int {
-	n := make([]int, len(seats))
-	for i, s := range seats {
-		n[i] = s.Number
+func numbers(voters []ranked) []int {
+	n := make([]int, len(voters))
+	for i, v := range voters {
+		n[i] = v.seat
 	}
 	return n
 }
--- a/spender/table.go
+++ b/spender/table.go
@@ -78,6 +78,12 @@
 	return ok
 }
 
+// Unspent says whether the token was issued by this process and was not spent.
+func (t *Table) Unspent(token string) bool {
+	e, ok := t.tokens[token]
+	return ok && e.state == issuedUnused
+}
+
 // Spend spends a token on the request with the given digest. A token is Spent once; after that the state
 // tells what became of the first request, and the outcome is set when it is Done.
 func (t *Table) Spend(now tiller.Millis, token string, digest uint64) (State, tiller.Result) {
