Share the cold start of upstreams between the units of a service

Only one unit has the cold allowance of an upstream; nothing told the others when they may use it, so that a divided service used one part of each upstream. The owner of that unit now tells the other owners when an upstream becomes warm or cold, and an owner that waits asks once a second.

--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -1,6 +1,9 @@
 package reducer
 
-import tiller "github.com/carawaytiller/carawaytiller"
+import (
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/tracker"
+)
 
 // Effect is something that the runner is to carry out.
 type Effect interface{ effect() }
@@ -65,6 +68,23 @@
 	Message LeasePayload
 }
 
+// TellWarmth sends to a seat what is known of the cold start of upstreams, or asks for it.
+type TellWarmth struct {
+	To     int
+	Warmth Warmth
+}
+
+// Warmth is a message between the owners of two units of one service.
+type Warmth struct {
+	// Unit is the sender's.
+	Unit tracker.UnitID
+	// Warm and Cold name upstreams of which the sender's unit has the cold allowance.
+	Warm []string
+	Cold []string
+	// Ask says that the sender wants to know which upstreams are warm.
+	Ask bool
+}
+
 // Wake asks for a TimeAdvanced event at a time. A later Wake replaces an earlier one.
 type Wake struct{ Time tiller.Millis }
 
@@ -85,6 +105,7 @@
 func (Forward) effect()       {}
 func (CancelForward) effect() {}
 func (SendLease) effect()     {}
+func (TellWarmth) effect()    {}
 func (Wake) effect()          {}
 func (Count) effect()         {}
 func (Stopped) effect()       {}
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -121,6 +121,14 @@
 	Message LeasePayload
 }
 
+// WarmthTold carries what the owner of another unit of the same service knows of upstreams
+// of which that unit has the cold allowance.
+type WarmthTold struct {
+	Stamp
+	From   int
+	Warmth Warmth
+}
+
 // StopRequested says that this daemon is to stop as planned: it finishes what it accepted.
 type StopRequested struct{ Stamp }
 
--- a/reducer/member.go
+++ b/reducer/member.go
@@ -33,6 +33,8 @@
 	// open and roomy are as the unit's counts have them.
 	open  bool
 	roomy bool
+	// warm is as the owners of the other units were told.
+	warm bool
 
 	paused bool
 	pauses int
@@ -80,6 +82,10 @@
 		s.touch(m.unit)
 	}
 	m.open, m.roomy = open, roomy
+	if warm := !m.limit.Cold(); warm != m.warm {
+		m.warm = warm
+		s.warmthChanged(m)
+	}
 }
 
 func change(before, after bool) int {
--- a/reducer/step.go
+++ b/reducer/step.go
@@ -68,6 +68,9 @@
 	case LeaseMessage:
 		s.seed(e.Stamp)
 		s.onLeaseMessage(e)
+	case WarmthTold:
+		s.seed(e.Stamp)
+		s.onWarmth(e)
 	case StopRequested:
 		s.seed(e.Stamp)
 		s.stopping = true
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -31,6 +31,8 @@
 	timerResume
 	// timerQuota puts a larger quota in force.
 	timerQuota
+	// timerWarmth asks again which upstreams are warm.
+	timerWarmth
 )
 
 // timer is something due at a time. It is part of the entry that it belongs to.
@@ -109,6 +111,8 @@
 		s.resume(t.member)
 	case timerQuota:
 		s.growQuota(t.member)
+	case timerWarmth:
+		s.askWarmth(t.unit)
 	}
 }
 
--- a/reducer/unit.go
+++ b/reducer/unit.go
@@ -33,6 +33,7 @@
 	touched      bool
 	sending      bool
 	timer        timer
+	warmthTimer  timer
 
 	// work is nil until the unit has had work here as its owner.
 	*work
@@ -89,6 +90,7 @@
 	if !ok {
 		u = &unit{id: id, service: sv, owner: unknownSeat, seeking: bag{kind: bagSeeking}}
 		u.timer = timer{kind: timerUnit, unit: u}
+		u.warmthTimer = timer{kind: timerWarmth, unit: u}
 		s.units[id] = u
 	}
 	return u
@@ -211,6 +213,7 @@
 	may := s.maySend(u)
 	if may && !u.sending {
 		s.freeAll(u)
+		s.askWarmth(u)
 	}
 	s.replaceStranded(u)
 	u.sending = may
--- a/reducer/upstream.go
+++ b/reducer/upstream.go
@@ -24,6 +24,9 @@
 	draining    bool
 	drainingAt  tiller.Millis
 	incarnation int64
+	// restartedAt is the time of the last sign of a restart; it counts when hasRestarted is set.
+	restartedAt  tiller.Millis
+	hasRestarted bool
 	// lostAt is the time of the last loss that was attributed to digests; -1 when there was none.
 	lostAt tiller.Millis
 	// lost are the digests of attempts that ended with a lost connection and were not attributed yet.
@@ -58,6 +61,12 @@
 	if lost || len(u.lost) > 0 {
 		s.lose(u, lost)
 	}
+	s.chill(u)
+}
+
+// chill returns the limits of every unit on an upstream to what it may get when cold.
+func (s *State) chill(u *upstream) {
+	u.restartedAt, u.hasRestarted = s.now, true
 	for _, m := range u.members {
 		m.limit = m.limit.WithRestart()
 		s.refresh(m)
@@ -79,10 +88,7 @@
 	if len(u.lost) > 0 {
 		s.lose(u, false)
 	}
-	for _, m := range u.members {
-		m.limit = m.limit.WithRestart()
-		s.refresh(m)
-	}
+	s.chill(u)
 }
 
 // onLoad takes a load report, which can only lower what an upstream gets.
--- /dev/null
+++ b/reducer/warmth.go
@@ -0,0 +1,160 @@
+package reducer
+
+import (
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/router"
+	"github.com/carawaytiller/carawaytiller/tracker"
+)
+
+const (
+	// warmthRetryMillis is the time after which an owner asks again for upstreams that it may not use yet.
+	warmthRetryMillis = tiller.Second
+	// warmthStaleMillis is the time after a sign of a restart during which a report that the upstream is warm is
+	// taken to be older than the sign.
+	warmthStaleMillis = tiller.Second
+)
+
+// warmthChanged tells the other units of a service about an upstream of which this unit has the cold allowance.
+func (s *State) warmthChanged(m *member) {
+	u := m.unit
+	if u.service == nil || u.service.owners == 1 || m.limit.Allowance() == 0 {
+		return
+	}
+	w := Warmth{Unit: u.id}
+	if m.warm {
+		w.Warm = []string{m.upstream.spec.Name}
+	} else {
+		w.Cold = []string{m.upstream.spec.Name}
+	}
+	for index := range u.service.owners {
+		if index != u.id.Index {
+			s.tell(tracker.UnitID{Service: u.id.Service, Index: index}, u.service, w)
+		}
+	}
+}
+
+// tell brings a message to the owner of a unit, which may be this daemon.
+func (s *State) tell(to tracker.UnitID, sv *service, w Warmth) {
+	other := s.unit(to, sv)
+	if s.owns(other) {
+		s.heed(other, w)
+		return
+	}
+	if seat, ok := s.likelyOwner(other); ok {
+		s.emit(TellWarmth{To: seat, Warmth: w})
+	}
+}
+
+// likelyOwner returns the last known owner of a unit, else its first voter.
+func (s *State) likelyOwner(u *unit) (int, bool) {
+	if owner := s.knownOwner(u); owner >= 0 {
+		return owner, !s.isSelf(owner)
+	}
+	for _, seat := range s.votersOf(u) {
+		if !s.isSelf(seat) {
+			return seat, true
+		}
+	}
+	return 0, false
+}
+
+// askWarmth asks the owners of the other units for the upstreams of which they have the cold allowance,
+// as long as some of them may not be used here.
+func (s *State) askWarmth(u *unit) {
+	if u.work == nil || u.service == nil || u.service.owners == 1 || !s.maySend(u) {
+		return
+	}
+	asked := make([]bool, u.service.owners)
+	waiting := false
+	for _, m := range u.list {
+		index := router.ColdUnit(m.upstream.spec.Name, u.service.owners)
+		if !m.isOpen() || m.limit.Limit() > 0 || index == u.id.Index {
+			continue
+		}
+		waiting = true
+		if !asked[index] {
+			asked[index] = true
+			s.ask(u, tracker.UnitID{Service: u.id.Service, Index: index})
+		}
+	}
+	if waiting {
+		s.arm(&u.warmthTimer, s.now+warmthRetryMillis)
+	}
+}
+
+func (s *State) ask(u *unit, of tracker.UnitID) {
+	other := s.unit(of, u.service)
+	if s.owns(other) {
+		if other.work != nil {
+			s.heed(u, other.warmth())
+		}
+		return
+	}
+	if seat, ok := s.likelyOwner(other); ok {
+		s.emit(TellWarmth{To: seat, Warmth: Warmth{Unit: u.id, Ask: true}})
+	}
+}
+
+// warmth lists the warm upstreams of which the unit has the cold allowance.
+func (u *unit) warmth() Warmth {
+	w := Warmth{Unit: u.id}
+	for _, m := range u.list {
+		if m.limit.Allowance() > 0 && !m.limit.Cold() {
+			w.Warm = append(w.Warm, m.upstream.spec.Name)
+		}
+	}
+	return w
+}
+
+// onWarmth heeds or answers a message of the owner of another unit.
+func (s *State) onWarmth(e WarmthTold) {
+	sv, ok := s.services[e.Warmth.Unit.Service]
+	if !ok {
+		return
+	}
+	for index := range sv.owners {
+		id := tracker.UnitID{Service: sv.spec.Name, Index: index}
+		u, ok := s.units[id]
+		if !ok || id == e.Warmth.Unit || u.work == nil || !s.owns(u) {
+			continue
+		}
+		if !e.Warmth.Ask {
+			s.heed(u, e.Warmth)
+			continue
+		}
+		if w := u.warmth(); len(w.Warm) > 0 {
+			s.emit(TellWarmth{To: e.From, Warmth: w})
+		}
+	}
+}
+
+// heed uses upstreams that are warm and leaves those that are cold. Only the unit
+// with the cold allowance of an upstream is believed.
+func (s *State) heed(u *unit, w Warmth) {
+	if u.work == nil || u.service == nil {
+		return
+	}
+	for _, name := range w.Warm {
+		m, ok := s.believed(u, w.Unit, name)
+		if ok && m.limit.Limit() == 0 && !m.upstream.isFreshlyRestarted(s.now) {
+			m.limit = m.limit.WithWarm()
+			s.refresh(m)
+		}
+	}
+	for _, name := range w.Cold {
+		if m, ok := s.believed(u, w.Unit, name); ok {
+			m.limit = m.limit.WithRestart()
+			s.refresh(m)
+			s.arm(&u.warmthTimer, s.now+warmthRetryMillis)
+		}
+	}
+}
+
+func (s *State) believed(u *unit, by tracker.UnitID, name string) (*member, bool) {
+	m, ok := u.members[name]
+	return m, ok && m.limit.Allowance() == 0 && router.ColdUnit(name, u.service.owners) == by.Index
+}
+
+func (u *upstream) isFreshlyRestarted(now tiller.Millis) bool {
+	return u.hasRestarted && now-u.restartedAt < warmthStaleMillis
+}
