--- a/reducer/event.go
+++ b/reducer/event.go
@@ -129,6 +129,14 @@
 	Value   []byte
 }
 
+// WarmthTold carries what the owner of another unit of the same service knows of upstreams
+// of which that unit has the cold allowance.
+type WarmthTold struct {
+	Stamp
+	From   int
+	Warmth Warmth
+}
+
 // StopRequested says that this daemon is to stop as planned: it finishes what it accepted.
 type StopRequested struct{ Stamp }
 
--- a/reducer/failed.go
+++ b/reducer/failed.go
@@ -29,6 +29,10 @@
 	if isVersionFailure(e.Reason) {
 		s.sample(a, s.now-a.sentAt, true)
 	}
+	// The end of the last attempt may forget the upstream, but not one that is draining.
+	if e.Reason == tiller.ReasonDraining {
+		s.drain(a.member.upstream)
+	}
 	s.limitAfter(a, e)
 	s.end(id, a)
 	failed := q.lose(id, a, e.Reason)
@@ -78,8 +82,6 @@
 func (s *State) learn(a attempt, e AttemptFailed) {
 	m := a.member
 	switch e.Reason {
-	case tiller.ReasonDraining:
-		s.drain(m.upstream)
 	case tiller.ReasonNoSnapshot, tiller.ReasonNoShard:
 		m.lose(a.query.running.plan, s.now)
 	case tiller.ReasonConnectFailed:
--- a/reducer/step.go
+++ b/reducer/step.go
@@ -71,6 +71,9 @@
 	case FactLearned:
 		s.seed(e.Stamp)
 		s.onFact(e)
+	case WarmthTold:
+		s.seed(e.Stamp)
+		s.onWarmth(e)
 	case StopRequested:
 		s.seed(e.Stamp)
 		s.stopping = true
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -33,6 +33,8 @@
 	timerQuota
 	// timerRollout looks at the evidence of a rollout.
 	timerRollout
+	// timerWarmth asks again which upstreams are warm.
+	timerWarmth
 )
 
 // timer is something due at a time. It is part of the entry that it belongs to.
@@ -113,6 +115,8 @@
 		s.growQuota(t.member)
 	case timerRollout:
 		s.onRolloutDue(t.unit)
+	case timerWarmth:
+		s.askWarmth(t.unit)
 	}
 }
 
--- a/reducer/unit.go
+++ b/reducer/unit.go
@@ -33,6 +33,7 @@
 	touched      bool
 	sending      bool
 	timer        timer
+	warmthTimer  timer
 
 	// work is nil until the unit has had work here as its owner.
 	*work
@@ -91,6 +92,7 @@
 	if !ok {
 		u = &unit{id: id, service: sv, owner: unknownSeat, seeking: bag{kind: bagSeeking}}
 		u.timer = timer{kind: timerUnit, unit: u}
+		u.warmthTimer = timer{kind: timerWarmth, unit: u}
 		s.units[id] = u
 	}
 	return u
@@ -150,9 +152,7 @@
 	s.disarm(&m.quotaTimer)
 	up := m.upstream
 	up.members = slices.DeleteFunc(up.members, func(other *member) bool { return other == m })
-	if len(up.members) == 0 && !up.listed {
-		delete(s.upstreams, up.spec.Name)
-	}
+	s.prune(up.spec.Name, up)
 }
 
 // limitQueue divides the service's queue among its units; parked queries take places in it.
@@ -216,6 +216,7 @@
 	may := s.maySend(u)
 	if may && !u.sending {
 		s.freeAll(u)
+		s.askWarmth(u)
 	}
 	s.replaceStranded(u)
 	u.sending = may
--- a/router/voters.go
+++ b/router/voters.go
@@ -27,107 +27,120 @@
 	return seats
 }
 
-// Roster holds the seats of a document by region and failure domain, so that the voters of a unit
-// are found by hashing the seats of its home region only. It is immutable.
-type Roster struct {
-	domains []domainSeats
-	seats   int
+// Ranker ranks the seats of a document for its units. It keeps the seats by region, so that
+// ranking costs as much as the home region has seats. It is immutable.
+type Ranker struct {
+	regions map[string][]place
+	all     []place
+	// domains is the number of failure domains.
+	domains int
 }
 
-// domainSeats are the numbers of the seats of one failure domain, ascending.
-type domainSeats struct {
-	region string
-	seats  []int
+// place is a seat with the number of its failure domain.
+type place struct {
+	seat   int
+	domain int
 }
 
-// NewRoster groups seats by failure domain.
-func NewRoster(seats []Seat) Roster {
-	r := Roster{seats: len(seats)}
-	indexes := make(map[[2]string]int)
+// ranked is a place with its hash for a unit; the greatest hash ranks first. Seats of a document have equal weights,
+// for which the order of the hashes is that of Rank.
+type ranked struct {
+	place
+	hash uint64
+}
+
+// NewRanker returns a Ranker for seats of equal weight.
+func NewRanker(seats []Seat) *Ranker {
+	r := &Ranker{regions: make(map[string][]place), all: make([]place, 0, len(seats))}
+	domains := make(map[string]int)
 	for _, s := range seats {
-		key := [2]string{s.Region, s.Domain}
-		n, ok := indexes[key]
+		domain, ok := domains[s.Domain]
 		if !ok {
-			n = len(r.domains)
-			indexes[key] = n
-			r.domains = append(r.domains, domainSeats{region: s.Region})
+			domain = len(domains)
+			domains[s.Domain] = domain
 		}
-		r.domains[n].seats = append(r.domains[n].seats, s.Number)
+		p := place{seat: s.Number, domain: domain}
+		r.regions[s.Region] = append(r.regions[s.Region], p)
+		r.all = append(r.all, p)
 	}
+	r.domains = len(domains)
 	return r
 }
 
 // Voters returns the seats that vote on the lease of a unit, in rank order. Seats of the home region come
 // before all others, so that a region cut off from the others keeps its services; among them,
-// seats in different failure domains come first.
-func (r Roster) Voters(service string, index int, region string) []int {
+// seats in different failure domains come first. All seats vote when there are no more than VoterCount.
+func (r *Ranker) Voters(service string, index int, region string) []int {
 	key := unitHash(service, index)
-	if r.seats <= VoterCount {
-		return numbers(r.best(key, func(string) bool { return true }))
+	if len(r.all) <= VoterCount {
+		return numbers(byRank(key, r.all))
 	}
-	voters := r.best(key, func(name string) bool { return name == region })
+	voters := r.appendBest(nil, key, r.regions[region])
 	if len(voters) < VoterCount {
-		voters = append(voters, r.best(key, func(name string) bool { return name != region })...)
+		voters = r.appendBest(voters, key, r.all)
 	}
-	return numbers(voters[:min(len(voters), VoterCount)])
+	return numbers(voters)
 }
 
-// best returns the best ranked seat of each failure domain, best first, and then,
-// when these are fewer than the voters needed, the best of what is left.
-func (r Roster) best(key uint64, wanted func(region string) bool) []ranked {
-	var first, left []ranked
-	for _, d := range r.domains {
-		if !wanted(d.region) {
-			continue
-		}
-		top := topOf(key, d.seats)
-		first = append(first, top[0])
-		for _, seat := range top[1:] {
-			left = insertBest(left, seat)
+// appendBest adds the best ranked seats until there are enough voters: first the best of each
+// failure domain that has no voter yet, then the best of what is left.
+func (r *Ranker) appendBest(voters []ranked, key uint64, places []place) []ranked {
+	first := make([]ranked, r.domains)
+	best := make([]ranked, 0, VoterCount+1)
+	for _, p := range places {
+		one := ranked{place: p, hash: seatHash(key, p.seat)}
+		if one.hash > first[p.domain].hash {
+			first[p.domain] = one
 		}
+		best = insertBest(best, one)
 	}
+	first = slices.DeleteFunc(first, func(one ranked) bool { return one.hash == 0 })
 	slices.SortFunc(first, ranked.compare)
-	if len(first) < VoterCount {
-		return append(first, left...)
+	for _, one := range first {
+		if !slices.ContainsFunc(voters, func(v ranked) bool { return v.domain == one.domain }) {
+			voters = appendVoter(voters, one)
+		}
 	}
-	return first
+	for _, one := range best {
+		voters = appendVoter(voters, one)
+	}
+	return voters
 }
 
-// topOf returns the best ranked of some seats, as many as there are voters.
-func topOf(key uint64, seats []int) []ranked {
-	top := make([]ranked, 0, VoterCount+1)
-	for _, seat := range seats {
-		top = insertBest(top, ranked{seat: seat, hash: seatHash(key, seat)})
+func appendVoter(voters []ranked, one ranked) []ranked {
+	if len(voters) == VoterCount || slices.Contains(voters, one) {
+		return voters
 	}
-	return top
+	return append(voters, one)
 }
 
 // insertBest keeps the best seats in order.
-func insertBest(best []ranked, r ranked) []ranked {
-	if len(best) == VoterCount && !r.before(best[VoterCount-1]) {
+func insertBest(best []ranked, one ranked) []ranked {
+	if len(best) == VoterCount && one.hash < best[VoterCount-1].hash {
 		return best
 	}
-	at, _ := slices.BinarySearchFunc(best, r, ranked.compare)
-	best = slices.Insert(best, at, r)
+	at, _ := slices.BinarySearchFunc(best, one, ranked.compare)
+	best = slices.Insert(best, at, one)
 	return best[:min(len(best), VoterCount)]
 }
 
-// ranked is a seat of equal weight with its hash; the greatest hash ranks first.
-type ranked struct {
-	seat int
-	hash uint64
+func byRank(key uint64, places []place) []ranked {
+	all := make([]ranked, len(places))
+	for i, p := range places {
+		all[i] = ranked{place: p, hash: seatHash(key, p.seat)}
+	}
+	slices.SortFunc(all, ranked.compare)
+	return all
 }
 
-func (r ranked) before(other ranked) bool { return r.compare(other) < 0 }
-
-func (r ranked) compare(other ranked) int {
-	return cmp.Or(cmp.Compare(other.hash, r.hash), cmp.Compare(r.seat, other.seat))
+func (one ranked) compare(other ranked) int {
+	return cmp.Or(cmp.Compare(other.hash, one.hash), cmp.Compare(one.seat, other.seat))
 }
 
-func numbers(seats []ranked) []int {
-	n := make([]int, len(seats))
-	for i, s := range seats {
-		n[i] = s.seat
+func numbers(voters []ranked) []int {
+	n := make([]int, len(voters))
+	for i, v := range voters {
+		n[i] = v.seat
 	}
 	return n
 }
