Keep a claimed seat under the lease that is renewed

A claim whose write took effect while its answer and then the claim itself were lost was recognised by the next claim, which had a new store lease. The process renewed that one, and the key of the seat vanished with the first lease 2 hours later. The key now names its lease, and a claim under another lease is written again.

A process also claimed a seat before the lagging list of VMs had its VM, so that the next claimant took the seat for that of a VM that is gone, and two processes voted for one seat. Claim now fails with ErrNotListed until the list has the VM; the test's last claimant is on the list because of that. A lease is granted only when a free seat has been seen, so that waiting for a seat leaves none behind.

Holds and Holder read who holds a seat. AcceptRecord returns the record with the acceptance, because an operation that was accepted earlier may stand in a record of a later revision.

--- a/keeper/change.go
+++ b/keeper/change.go
@@ -42,20 +42,28 @@
 // It fails with a ConflictError when another change was first, and with a *tiller.Failure
 // with the verdict MayHaveRun when ctx ends before the outcome is known.
 func (k *Keeper) Accept(ctx context.Context, c Change) (int64, error) {
+	revision, _, err := k.AcceptRecord(ctx, c)
+	return revision, err
+}
+
+// AcceptRecord is Accept, and also returns the record that held the change when its acceptance was known.
+// When the operation was accepted earlier, the record may be of a later revision and its text another one
+// than that of the change.
+func (k *Keeper) AcceptRecord(ctx context.Context, c Change) (int64, Record, error) {
 	verdict := tiller.NotRun
 	for try := 0; ; try++ {
-		revision, err := k.tryAccept(ctx, c)
+		revision, record, err := k.tryAccept(ctx, c)
 		if err == nil {
-			return revision, nil
+			return revision, record, nil
 		}
 		if isFinal(err) {
-			return 0, err
+			return 0, Record{}, err
 		}
 		if verdictOf(err) != tiller.NotRun {
 			verdict = tiller.MayHaveRun
 		}
 		if waitErr := k.backoff(ctx, try); waitErr != nil {
-			return 0, tiller.NewFailure(verdict, tiller.ReasonTimeout, err)
+			return 0, Record{}, tiller.NewFailure(verdict, tiller.ReasonTimeout, err)
 		}
 	}
 }
@@ -63,30 +71,30 @@
 // errStale says that a read returned an older record than one known to exist.
 var errStale = errors.New("store returned an old record")
 
-func (k *Keeper) tryAccept(ctx context.Context, c Change) (int64, error) {
+func (k *Keeper) tryAccept(ctx context.Context, c Change) (int64, Record, error) {
 	record, version, err := k.Read(ctx, c.Environment)
 	if err != nil {
 		// A failed read changes nothing, whatever its own verdict.
-		return 0, tiller.NewFailure(tiller.NotRun, tiller.ReasonInternal, err)
+		return 0, Record{}, tiller.NewFailure(tiller.NotRun, tiller.ReasonInternal, err)
 	}
 	if done, ok := record.operation(c.Operation); ok {
-		return done.Revision, nil
+		return done.Revision, record, nil
 	}
 	if record.Revision < c.Expected {
-		return 0, tiller.NewFailure(tiller.NotRun, tiller.ReasonInternal, errStale)
+		return 0, Record{}, tiller.NewFailure(tiller.NotRun, tiller.ReasonInternal, errStale)
 	}
 	if record.Revision > c.Expected {
-		return 0, conflict(record, c)
+		return 0, Record{}, conflict(record, c)
 	}
 	next := record.with(c, k.cfg.Clock.Now())
 	text, err := json.Marshal(next)
 	if err != nil {
-		return 0, tiller.NewFailure(tiller.NotRun, tiller.ReasonInternal, err)
+		return 0, Record{}, tiller.NewFailure(tiller.NotRun, tiller.ReasonInternal, err)
 	}
 	if _, err := k.cfg.Platform.Put(ctx, k.key(c.Environment, "document"), string(text), version, 0); err != nil {
-		return 0, err
+		return 0, Record{}, err
 	}
-	return next.Revision, nil
+	return next.Revision, next, nil
 }
 
 // conflict returns the error for a record that is past the expected revision.
--- a/keeper/change_test.go
+++ b/keeper/change_test.go
@@ -165,8 +165,8 @@
 	require.Equal(t, outcome{verdict: tiller.NotRun}, out)
 }
 
-// TestSeats guards against one seat claimed by two processes, a seat lost to a VM that lives,
-// and incarnations that do not grow.
+// TestSeats guards against one seat claimed by two processes, a seat lost to a VM that lives, a claim that
+// others take for that of a VM that is gone because the list lags, and incarnations that do not grow.
 func TestSeats(t *testing.T) {
 	s := newMemoryStore(3)
 	s.loseReply, s.refuse = 0.2, 0.1
@@ -192,7 +192,9 @@
 	again := claim(t, s, late, order)
 	require.Equal(t, 3, again.Number)
 	require.Greater(t, again.Incarnation, seats[3].Incarnation)
-	s.vms = s.vms[1:]
+	_, err = newKeeper(s, 5).Claim(context.Background(), Claimant{VM: "vm10", Nonce: "10"}, order)
+	require.ErrorIs(t, err, ErrNotListed)
+	s.vms = append(s.vms[1:], VM{Name: "vm10"})
 	require.Equal(t, 1, claim(t, s, Claimant{VM: "vm10", Nonce: "10"}, order).Number, "the VM that left held seat 1")
 }
 
@@ -205,3 +207,37 @@
 		require.NotErrorIs(t, err, ErrNoSeat)
 	}
 }
+
+// TestClaimAfterFailureHoldsItsOwnLease guards against a seat that is lost 2 hours after its claim: the write of
+// the claim took effect, its answer and the claim were lost, and the repeated claim renews another lease
+// than that of the key.
+func TestClaimAfterFailureHoldsItsOwnLease(t *testing.T) {
+	s := newMemoryStore(1)
+	s.vms = []VM{{Name: "vm0"}}
+	s.loseReply = 1
+	c := Claimant{VM: "vm0", Nonce: "0"}
+	_, err := newKeeper(s, 0).Claim(context.Background(), c, []int{0})
+	require.Error(t, err)
+	s.loseReply = 0
+	seat := claim(t, s, c, []int{0})
+	versions := s.entries["/carawaytiller/trial/seat/0"]
+	require.Equal(t, seat.Lease, s.leases[versions[len(versions)-1].Version-1])
+
+	holds := func() bool {
+		held, err := newKeeper(s, 5).Holds(context.Background(), c, seat)
+		require.NoError(t, err)
+		return held
+	}
+	require.True(t, holds())
+	s.stale = 1
+	require.True(t, holds(), "an old read does not count")
+	s.stale = 0
+	s.vms = []VM{{Name: "vm1"}}
+	other := Claimant{VM: "vm1", Nonce: "1", Address: "127.0.0.1:1"}
+	claim(t, s, other, []int{0})
+	require.False(t, holds())
+	holder, held, err := newKeeper(s, 5).Holder(context.Background(), 0)
+	require.NoError(t, err)
+	require.True(t, held)
+	require.Equal(t, other, holder)
+}
--- a/keeper/seat.go
+++ b/keeper/seat.go
@@ -18,8 +18,14 @@
 	SeatRenewMillis = 30 * tiller.Minute
 )
 
-// ErrNoSeat says that every seat is held.
-var ErrNoSeat = errors.New("no free seat")
+// Errors of a claim.
+var (
+	// ErrNoSeat says that every seat is held.
+	ErrNoSeat = errors.New("no free seat")
+	// ErrNotListed says that the platform's list of VMs does not have the claimant's VM yet. Other processes
+	// would take a seat claimed now for that of a VM that is gone.
+	ErrNotListed = errors.New("the list of VMs does not have this VM yet")
+)
 
 // Claimant is the daemon process that wants a seat.
 type Claimant struct {
@@ -34,6 +40,8 @@
 type Seat struct {
 	Number      int
 	Incarnation int64
+	// Version is that of the key of the seat, as written by this process.
+	Version int64
 	// Lease is the store lease under which the seat is held.
 	Lease int64
 	// Until is the time until which the seat is held unless the lease is renewed.
@@ -43,9 +51,16 @@
 // holder is the value of the key that exists as long as a seat is held.
 type holder struct {
 	Claimant
+	// Lease is the store lease of the key.
+	Lease    int64
 	Released bool
 }
 
+// holds says whether h is the claim of a process under a lease.
+func (h holder) holds(c Claimant, lease int64) bool {
+	return h.Nonce == c.Nonce && h.Lease == lease && !h.Released
+}
+
 // SeatOrder returns the seats in the order in which a daemon of a failure domain tries them:
 // those of its own domain first, each group starting at a point given by start.
 func SeatOrder(seats, domains, domain, start int) []int {
@@ -62,20 +77,31 @@
 	return append(own, others...)
 }
 
-// Claim claims the first free seat of order. It fails with ErrNoSeat when all are held.
+// Claim claims the first free seat of order. It fails with ErrNoSeat when all are held,
+// and with ErrNotListed when the list of VMs lacks the claimant's VM.
 func (k *Keeper) Claim(ctx context.Context, c Claimant, order []int) (Seat, error) {
-	asked := k.cfg.Clock.Now()
-	lease, err := k.cfg.Platform.Grant(ctx, SeatLeaseMillis)
-	if err != nil {
-		return Seat{}, err
-	}
 	live, err := k.liveVMs(ctx)
 	if err != nil {
 		return Seat{}, err
 	}
+	if !live[c.VM] {
+		return Seat{}, ErrNotListed
+	}
+	var lease Seat
 	for _, number := range order {
-		seat := Seat{Number: number, Lease: lease, Until: asked + SeatLeaseMillis}
-		got, err := k.lock(ctx, c, seat, live)
+		free, _, _, err := k.inspect(ctx, c, Seat{Number: number}, live)
+		if err != nil {
+			return Seat{}, err
+		}
+		if !free {
+			continue
+		}
+		if lease, err = k.ensureLease(ctx, lease); err != nil {
+			return Seat{}, err
+		}
+		seat := Seat{Number: number, Lease: lease.Lease, Until: lease.Until}
+		var got bool
+		seat.Version, got, err = k.lock(ctx, c, seat, live)
 		if err != nil {
 			return Seat{}, err
 		}
@@ -88,6 +114,37 @@
 	return Seat{}, ErrNoSeat
 }
 
+// ensureLease returns s with a store lease. It asks for one only when a free seat has been seen,
+// so that a process that waits for a seat leaves no unused leases behind.
+func (k *Keeper) ensureLease(ctx context.Context, s Seat) (Seat, error) {
+	if s.Lease != 0 {
+		return s, nil
+	}
+	s.Until = k.cfg.Clock.Now() + SeatLeaseMillis
+	lease, err := k.cfg.Platform.Grant(ctx, SeatLeaseMillis)
+	s.Lease = lease
+	return s, err
+}
+
+// Holds says whether a process still holds its seat, and not another process that took it for lost.
+// A read that is older than the claim does not count against it.
+func (k *Keeper) Holds(ctx context.Context, c Claimant, s Seat) (bool, error) {
+	h, version, err := k.readHolder(ctx, s.Number)
+	if errors.Is(err, ErrNotFound) {
+		return false, nil
+	}
+	return version < s.Version || h.holds(c, s.Lease), err
+}
+
+// Holder returns the process that holds a seat, if one does.
+func (k *Keeper) Holder(ctx context.Context, number int) (c Claimant, held bool, err error) {
+	h, _, err := k.readHolder(ctx, number)
+	if errors.Is(err, ErrNotFound) {
+		return Claimant{}, false, nil
+	}
+	return h.Claimant, err == nil && !h.Released, err
+}
+
 // Renew renews the lease of a seat.
 func (k *Keeper) Renew(ctx context.Context, s Seat) (Seat, error) {
 	asked := k.cfg.Clock.Now()
@@ -100,18 +157,15 @@
 
 // Release frees a seat at a planned stop, so that another process can claim it at once.
 func (k *Keeper) Release(ctx context.Context, c Claimant, s Seat) error {
-	e, err := k.cfg.Platform.Get(ctx, k.holderKey(s.Number))
+	h, version, err := k.readHolder(ctx, s.Number)
 	if err != nil {
 		return err
 	}
-	var h holder
-	if err := json.Unmarshal([]byte(e.Value), &h); err != nil {
-		return errors.Wrap(err, "decode holder")
-	}
-	if h.Nonce != c.Nonce {
+	if !h.holds(c, s.Lease) {
 		return nil
 	}
-	return k.putHolder(ctx, s.Number, holder{Claimant: c, Released: true}, e.Version, s.Lease)
+	_, err = k.putHolder(ctx, s.Number, holder{Claimant: c, Lease: s.Lease, Released: true}, version)
+	return err
 }
 
 // liveVMs returns the names of the VMs on the platform's list. The list lags,
@@ -128,54 +182,67 @@
 	return live, nil
 }
 
-// lock takes the key that exists as long as a seat is held, and says whether this process holds it now.
-func (k *Keeper) lock(ctx context.Context, c Claimant, s Seat, live map[string]bool) (bool, error) {
+// lock takes the key that exists as long as a seat is held, and says whether this process holds it now
+// and at which version of the key.
+func (k *Keeper) lock(ctx context.Context, c Claimant, s Seat, live map[string]bool) (version int64, got bool, err error) {
 	for try := 0; ; try++ {
-		free, mine, version, err := k.inspect(ctx, c, s.Number, live)
+		free, mine, version, err := k.inspect(ctx, c, s, live)
 		if err != nil {
-			return false, err
+			return 0, false, err
 		}
 		if mine {
-			return true, nil
+			return version, true, nil
 		}
 		if !free {
-			return false, nil
+			return 0, false, nil
 		}
-		err = k.putHolder(ctx, s.Number, holder{Claimant: c}, version, s.Lease)
+		written, err := k.putHolder(ctx, s.Number, holder{Claimant: c, Lease: s.Lease}, version)
 		if err == nil {
-			return true, nil
+			return written, true, nil
 		}
 		// After a conflict or a lost answer the key is read again: it may hold this process's own claim.
 		if waitErr := k.backoff(ctx, try); waitErr != nil {
-			return false, err
+			return 0, false, err
 		}
 	}
 }
 
-func (k *Keeper) inspect(ctx context.Context, c Claimant, number int, live map[string]bool) (free, mine bool, version int64, err error) {
-	e, err := k.cfg.Platform.Get(ctx, k.holderKey(number))
+// inspect says whether a seat may be claimed, and whether this process has claimed it under the lease of s.
+// A claim of this process under an earlier lease is free: its key would vanish with that lease.
+func (k *Keeper) inspect(ctx context.Context, c Claimant, s Seat, live map[string]bool) (free, mine bool, version int64, err error) {
+	h, version, err := k.readHolder(ctx, s.Number)
 	if errors.Is(err, ErrNotFound) {
 		return true, false, 0, nil
 	}
 	if err != nil {
 		return false, false, 0, err
 	}
+	// A claim by this VM is by an earlier process of it, which has ended.
+	free = h.Released || h.VM == c.VM || !live[h.VM]
+	return free, h.holds(c, s.Lease), version, nil
+}
+
+// readHolder reads the key that exists as long as a seat is held.
+func (k *Keeper) readHolder(ctx context.Context, number int) (holder, int64, error) {
+	e, err := k.cfg.Platform.Get(ctx, k.holderKey(number))
+	if err != nil {
+		return holder{}, 0, err
+	}
 	var h holder
 	if err := json.Unmarshal([]byte(e.Value), &h); err != nil {
-		return false, false, 0, errors.Wrap(err, "decode holder")
+		return holder{}, 0, errors.Wrap(err, "decode holder")
 	}
-	// A claim by this VM is by an earlier process of it, which has ended.
-	free = h.Released || h.VM == c.VM || !live[h.VM]
-	return free, h.Nonce == c.Nonce && !h.Released, e.Version, nil
+	return h, e.Version, nil
 }
 
-func (k *Keeper) putHolder(ctx context.Context, number int, h holder, version, lease int64) error {
+// putHolder writes the key of a seat and returns its new version.
+func (k *Keeper) putHolder(ctx context.Context, number int, h holder, version int64) (int64, error) {
 	text, err := json.Marshal(h)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	_, err = k.cfg.Platform.Put(ctx, k.holderKey(number), string(text), version, lease)
-	return err
+	e, err := k.cfg.Platform.Put(ctx, k.holderKey(number), string(text), version, h.Lease)
+	return e.Version, err
 }
 
 // raise increases the incarnation of a seat. Its key is under no lease, so the number never goes back.
--- a/keeper/store_test.go
+++ b/keeper/store_test.go
@@ -13,7 +13,10 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	entries map[string][]Entry
-	vms     []VM
+	// leases are those of the writes of seats, in order; lastLease is the lease granted last.
+	leases    []int64
+	lastLease int64
+	vms       []VM
 	// loseReply, refuse and stale are the shares of calls, from 0 to 1, whose answer is
 	// lost after they took effect, that fail without effect, and that read an old version.
 	loseReply, refuse, stale float64
@@ -29,7 +32,7 @@
 	return Platform{
 		Get:   s.get,
 		Put:   s.put,
-		Grant: func(context.Context, tiller.Millis) (int64, error) { return 1, s.fault() },
+		Grant: s.grant,
 		Keep:  func(context.Context, int64) error { return s.fault() },
 		VMs:   func(context.Context) ([]VM, error) { return s.vms, nil },
 	}
@@ -44,6 +47,14 @@
 	return nil
 }
 
+func (s *memoryStore) grant(context.Context, tiller.Millis) (int64, error) {
+	if err := s.fault(); err != nil {
+		return 0, err
+	}
+	s.lastLease++
+	return s.lastLease, nil
+}
+
 func (s *memoryStore) get(_ context.Context, key string) (Entry, error) {
 	if err := s.fault(); err != nil {
 		return Entry{}, err
@@ -60,7 +71,7 @@
 	return versions[len(versions)-1], nil
 }
 
-func (s *memoryStore) put(_ context.Context, key, value string, expected, _ int64) (Entry, error) {
+func (s *memoryStore) put(_ context.Context, key, value string, expected, lease int64) (Entry, error) {
 	if err := s.fault(); err != nil {
 		return Entry{}, err
 	}
@@ -72,6 +83,9 @@
 	}
 	e := Entry{Key: key, Value: value, Version: expected + 1}
 	s.entries[key] = append(versions, e)
+	if lease != 0 {
+		s.leases = append(s.leases, lease)
+	}
 	if r, err := decodeRecord(e); err == nil {
 		s.writes = append(s.writes, r)
 	}
