Run the load tool against daemons joined by QUIC and the store

Cause: the embedded fleet now keeps its document in the fake store, and the load tool changed it behind the daemons' backs. Change: changes go through a daemon's operator interface and are awaited everywhere; a document with faults is refused before the fleet starts.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -181,6 +181,13 @@
 // IsReady reports whether the daemon takes callers' work.
 func (d *Daemon) IsReady() bool { return d.unready() == "" }
 
+// Revision returns the revision of the document in force; 0 when there is none.
+func (d *Daemon) Revision() int64 {
+	d.applying.Lock()
+	defer d.applying.Unlock()
+	return d.revision
+}
+
 // Submit runs a query that the seat from has forwarded after redirects redirects.
 func (d *Daemon) Submit(ctx context.Context, q tiller.Query, from, redirects int) tiller.Result {
 	return d.runner.SubmitFrom(ctx, q, from, redirects)
--- a/cmd/tillerload/comparer/document.go
+++ b/cmd/tillerload/comparer/document.go
@@ -30,7 +30,7 @@
 		name := fmt.Sprintf("upstream-%03d", i)
 		doc.Upstreams = append(doc.Upstreams, tiller.Upstream{
 			Name: name, Domain: doc.Domains[i%len(doc.Domains)].Name, Version: "1",
-			Slots: slots, Connections: connections, ConnectMillis: connectMillis,
+			Slots: slots, Connections: connections, ConnectMillis: connectMillis, ColdSlots: slots,
 		})
 		index.Shards = append(index.Shards, tiller.Shard{Name: shardName(i), Upstreams: []string{name}})
 	}
--- a/cmd/tillerload/embedder/fleet.go
+++ b/cmd/tillerload/embedder/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +19,8 @@
 	drainMillis tiller.Millis = 500
 	// noticeTime is the time after which the load balancer notices that a daemon is not ready.
 	noticeTime = 250 * time.Millisecond
+	// changeTime bounds a change of the document.
+	changeTime = 10 * time.Second
 	// stopTime bounds a planned stop.
 	stopTime = 10 * time.Second
 )
@@ -43,9 +44,8 @@
 	Rotation *sender.Rotation
 	// settings are those of the fakes by name.
 	settings map[string]faker.UpstreamSettings
-	// incarnations and addresses are those of the daemons by seat.
-	incarnations []int64
-	addresses    []string
+	// addresses are those of the daemons by VM.
+	addresses []string
 }
 
 // Start starts a fleet with one daemon for each seat of the document. Close ends it.
@@ -65,24 +65,24 @@
 		Document:    cfg.Document,
 		Upstream:    base,
 		DrainMillis: drainMillis,
+		// Every daemon has the first document before the first query.
+		SpreadMillis: 1,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "embedded fleet")
 	}
 	f.doc.Store(f.fleet.Document)
-	f.incarnations = make([]int64, len(f.fleet.Daemons))
-	f.addresses = make([]string, len(f.fleet.Daemons))
-	for seat := range f.fleet.Daemons {
-		f.join(seat, 1)
+	f.addresses = make([]string, len(f.fleet.Members))
+	for vm := range f.fleet.Members {
+		f.join(vm)
 	}
 	return f, nil
 }
 
 // join puts a daemon that has just started into the rotation.
-func (f *Fleet) join(seat int, incarnation int64) {
-	f.incarnations[seat] = incarnation
-	f.addresses[seat] = f.fleet.Daemons[seat].CallerAddress()
-	f.Rotation.Add(f.addresses[seat])
+func (f *Fleet) join(vm int) {
+	f.addresses[vm] = f.fleet.Daemon(vm).CallerAddress()
+	f.Rotation.Add(f.addresses[vm])
 }
 
 // Document returns the document in force.
@@ -105,48 +105,40 @@
 // Settings returns the settings of a fake upstream.
 func (f *Fleet) Settings(upstream string) faker.UpstreamSettings { return f.settings[upstream] }
 
-// Apply puts a document with the next revision in force at every daemon.
+// Apply changes the document through a daemon and waits until the change is in force everywhere.
 func (f *Fleet) Apply(change func(*tiller.Document)) error {
-	doc := *f.Document()
-	doc.Domains = append([]tiller.Domain(nil), doc.Domains...)
-	doc.Revision++
-	change(&doc)
-	f.fleet.Document = &doc
-	f.doc.Store(&doc)
-	var tasks sync.WaitGroup
-	errs := make([]error, len(f.fleet.Daemons))
-	for seat, d := range f.fleet.Daemons {
-		if d != nil {
-			tasks.Go(func() { errs[seat] = d.Apply(&doc) })
-		}
+	ctx, cancel := context.WithTimeout(context.Background(), changeTime)
+	defer cancel()
+	if err := f.fleet.Change(ctx, change); err != nil {
+		return err
 	}
-	tasks.Wait()
-	return errors.Join(errs...)
+	f.doc.Store(f.fleet.Document)
+	return nil
 }
 
-// StopDaemon stops the daemon of a seat as planned. The load balancer notices during the drain time.
-func (f *Fleet) StopDaemon(seat int) error {
+// StopDaemon stops the daemon of a VM as planned. The load balancer notices during the drain time.
+func (f *Fleet) StopDaemon(vm int) error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
 	defer cancel()
-	notice := time.AfterFunc(noticeTime, func() { f.Rotation.Remove(f.addresses[seat]) })
+	notice := time.AfterFunc(noticeTime, func() { f.Rotation.Remove(f.addresses[vm]) })
 	defer notice.Stop()
-	return f.fleet.StopDaemon(ctx, seat)
+	return f.fleet.StopDaemon(ctx, vm)
 }
 
-// KillDaemon ends the daemon of a seat at once. The load balancer notices later.
-func (f *Fleet) KillDaemon(seat int) error {
-	f.fleet.KillDaemon(seat)
+// KillDaemon ends the daemon of a VM at once. The load balancer notices later.
+func (f *Fleet) KillDaemon(vm int) error {
+	f.fleet.KillDaemon(vm)
 	time.Sleep(noticeTime)
-	f.Rotation.Remove(f.addresses[seat])
+	f.Rotation.Remove(f.addresses[vm])
 	return nil
 }
 
-// StartDaemon starts the daemon of a seat that has none.
-func (f *Fleet) StartDaemon(seat int) error {
-	if err := f.fleet.StartDaemon(seat, f.incarnations[seat]+1); err != nil {
+// StartDaemon starts the daemon of a VM that has none.
+func (f *Fleet) StartDaemon(vm int) error {
+	if err := f.fleet.StartDaemon(vm); err != nil {
 		return err
 	}
-	f.join(seat, f.incarnations[seat]+1)
+	f.join(vm)
 	return nil
 }
 
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -134,6 +134,9 @@
 	if err != nil {
 		return err
 	}
+	if _, faults := decoder.DecodeDocument("", text); len(faults) > 0 {
+		return fmt.Errorf("document: %s", faults)
+	}
 	k := keeper.New(keeper.Config{
 		Platform:    f.platform,
 		Environment: f.Document.Environment,
