Run tillerd as a member of a fleet

A daemon without a fixed seat claims one in the store, follows the stored document and talks to its peers with the certificates of its settings. A daemon whose lease on its seat ended stops owning and voting at once and then stops.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -22,8 +22,10 @@
 	cfg     Config
 	metrics *server.Metrics
 	state   *reducer.State
-	runner  *runner.Runner
-	dialer  *dialer.Dialer
+	// leases is nil in a daemon without peers.
+	leases *leases
+	runner *runner.Runner
+	dialer *dialer.Dialer
 
 	caller   endpoint
 	operator endpoint
@@ -91,8 +93,8 @@
 		cfg.SendLease = peers.SendLease
 		cfg.Announce = peers.Announce
 		cfg.FinishMove = peers.FinishMove
-		l := &leases{spread: peers.SpreadMillis, running: func(id tracker.UnitID) int { return d.state.Running(id) }}
-		reducerConfig = l.config()
+		d.leases = &leases{spread: peers.SpreadMillis, running: func(id tracker.UnitID) int { return d.state.Running(id) }}
+		reducerConfig = d.leases.config()
 	}
 	d.state = reducer.New(reducerConfig)
 	d.dialer = dialer.New(dialer.Config{
@@ -193,6 +195,13 @@
 	})
 }
 
+// Resign ends all ownership and voting at once, because the process no longer holds its seat.
+func (d *Daemon) Resign() {
+	d.hasSeat.Store(false)
+	// A runner that has ended owns nothing any more.
+	_ = d.runner.View(d.leases.resign)
+}
+
 // LearnFact hands over a fact that another daemon has announced.
 func (d *Daemon) LearnFact(key string, version int64, value []byte) {
 	d.runner.Post(func(s reducer.Stamp) reducer.Event {
--- a/assembler/lease.go
+++ b/assembler/lease.go
@@ -86,3 +86,10 @@
 	}
 	return l.table.Release(now, id)
 }
+
+// resign ends all ownership and voting.
+func (l *leases) resign() {
+	if l.table != nil {
+		l.table.Resign()
+	}
+}
--- a/cmd/tillerd/main_test.go
+++ b/cmd/tillerd/main_test.go
@@ -21,7 +21,10 @@
 
 	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/api/caller"
+	"github.com/carawaytiller/carawaytiller/api/platform"
 	"github.com/carawaytiller/carawaytiller/decoder"
+	"github.com/carawaytiller/carawaytiller/faker"
+	"github.com/carawaytiller/carawaytiller/issuer"
 	"github.com/carawaytiller/carawaytiller/sampler"
 )
 
@@ -98,6 +101,7 @@
 		{"broken text", []string{"check", file(t, "x.json", "{")}, exitUsage, "x.json:1:", ""},
 		{"run with faulty settings", []string{"run", "--settings", faulty, "--document", document}, exitUsage, faulty + ":2:19: CallerAddress: ", ""},
 		{"run with faulty document", []string{"run", "--settings", settings, "--document", faulty}, exitUsage, faulty + ":", ""},
+		{"run without a document", []string{"run", "--settings", settings}, exitFailed, "", "needs --document"},
 		{"run without peers among others", []string{"run", "--settings", settings, "--document", crowded}, exitFailed, "", "one seat"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -129,12 +133,7 @@
 	go func() {
 		code <- execute(ctx, []string{"run", "--settings", settings, "--document", document}, &stdout, &stderr)
 	}()
-	address := ""
-	require.Eventually(t, func() bool {
-		_, rest, ok := strings.Cut(stderr.String(), `"Callers":"`)
-		address, _, _ = strings.Cut(rest, `"`)
-		return ok
-	}, patience, time.Millisecond)
+	address := awaitText(t, &stderr, `"Callers":"`)
 	body := `{"ID":"q","Caller":"c","Service":"recipe-desk-01","Route":"search","Body":{},"DeadlineMillis":300}`
 	resp, err := http.Post("http://"+address+"/v1/query", "application/json", strings.NewReader(body))
 	require.NoError(t, err)
@@ -155,6 +154,80 @@
 	requireJSONLines(t, stderr.String())
 }
 
+// Guards against two programs that do not find each other through their files and the store.
+func TestRunMembers(t *testing.T) {
+	fakes, err := faker.NewPlatform(faker.StoreSettings{}, tiller.SystemClock())
+	require.NoError(t, err)
+	store, err := fakes.Start("127.0.0.1:0")
+	require.NoError(t, err)
+	defer fakes.Close()
+	authority, err := issuer.NewAuthority("test", time.Now(), time.Hour)
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	logs, codes := make([]output, 2), make(chan int, 2)
+	for i := range logs {
+		name := fmt.Sprint("vm-", i)
+		fakes.VMs.Register(platform.VM{Name: name})
+		pair, err := authority.Issue(name, time.Now(), time.Hour)
+		require.NoError(t, err)
+		settings := file(t, "settings.json", fmt.Sprintf(`{
+			"Name": %q, "Domain": "Burnaby", "Environment": "production", "StopMillis": 5000,
+			"CallerAddress": "127.0.0.1:0", "OperatorAddress": "127.0.0.1:0", "PeerAddress": "127.0.0.1:0",
+			"PlatformAddresses": ["127.9.9.9:1", %q], "CertificateFile": %q, "KeyFile": %q, "AuthorityFile": %q}`,
+			name, store, file(t, "c.pem", string(pair.Certificate)), file(t, "k.pem", string(pair.Key)),
+			file(t, "a.pem", string(authority.Pair().Certificate))))
+		go func() { codes <- execute(ctx, []string{"run", "--settings", settings}, io.Discard, &logs[i]) }()
+	}
+	var operators []string
+	for i := range logs {
+		operators = append(operators, awaitText(t, &logs[i], `"Operators":"`))
+	}
+	body, err := json.Marshal(map[string]any{
+		"Operation": "first", "Operator": "op", "ExpectedRevision": 0,
+		"Text": strings.Replace(soleDocument(t), `"Seats": 1`, `"Seats": 2`, 1),
+	})
+	require.NoError(t, err)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+operators[1]+"/v1/document/production", bytes.NewReader(body))
+	require.NoError(t, err)
+	r.Header.Set("Content-Type", "application/json")
+	require.Eventually(t, func() bool {
+		resp, err := http.DefaultClient.Do(r.Clone(t.Context()))
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		r.Body, _ = r.GetBody()
+		return resp.StatusCode == http.StatusOK
+	}, patience, 100*time.Millisecond)
+	for i := range operators {
+		require.Eventually(t, func() bool {
+			resp, err := http.Get("http://" + operators[i] + "/readyz")
+			if err != nil {
+				return false
+			}
+			resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		}, patience, 10*time.Millisecond, "%s", &logs[i])
+	}
+	http.DefaultClient.CloseIdleConnections()
+	stop()
+	for i := range logs {
+		require.Equal(t, exitDone, <-codes, "%s", &logs[i])
+	}
+}
+
+// awaitText waits until a log has a field and returns its value.
+func awaitText(t *testing.T, log *output, field string) string {
+	t.Helper()
+	value := ""
+	require.Eventually(t, func() bool {
+		_, rest, ok := strings.Cut(log.String(), field)
+		value, _, _ = strings.Cut(rest, `"`)
+		return ok
+	}, patience, time.Millisecond)
+	return value
+}
+
 // Guards against a demonstration that fails, leaves something behind, or prints something else than its answers.
 func TestDemoOnce(t *testing.T) {
 	var stdout, stderr output
--- a/cmd/tillerd/run.go
+++ b/cmd/tillerd/run.go
@@ -11,9 +11,13 @@
 	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/assembler"
 	"github.com/carawaytiller/carawaytiller/decoder"
+	"github.com/carawaytiller/carawaytiller/joiner"
+	"github.com/carawaytiller/carawaytiller/messenger"
 )
 
-const runDescription = `Runs the daemon until it gets SIGTERM or SIGINT, which is a planned stop: it finishes what it accepted, for at most StopMillis of the settings.`
+const runDescription = `Runs the daemon until it gets SIGTERM or SIGINT, which is a planned stop: it finishes what it accepted, for at most StopMillis of the settings.
+
+A daemon without a Seat in its settings claims one in the platform's store and follows the document there. A daemon with a Seat has no peers and needs --document.`
 
 // greatestDrainMillis bounds the part of a planned stop that lets load balancers notice.
 const greatestDrainMillis = 2 * tiller.Second
@@ -22,7 +26,7 @@
 type runCommand struct {
 	program  *program
 	Settings string `long:"settings" value-name:"FILE" required:"yes" description:"Settings of the daemon"`
-	Document string `long:"document" value-name:"FILE" required:"yes" description:"Document of the operators"`
+	Document string `long:"document" value-name:"FILE" description:"Document of the operators, for a daemon without peers"`
 }
 
 // Execute runs the daemon.
@@ -35,39 +39,30 @@
 	if err != nil {
 		return err
 	}
-	cfg, err := daemonConfig(settings, doc, log)
-	if err != nil {
-		return err
-	}
-	d, err := assembler.New(cfg)
-	if err != nil {
-		return err
-	}
-	d.TakeSeat(*settings.Seat, 1)
-	if err := d.Apply(doc); err != nil {
-		d.Close()
-		return err
+	log = log.WithValues("VM", settings.Name)
+	if settings.Seat == nil {
+		return c.runMember(settings, log)
 	}
-	log.Info("serving", "Callers", d.CallerAddress(), "Operators", d.OperatorAddress())
-	<-c.program.ctx.Done()
-	ctx, cancel := context.WithTimeout(context.Background(), settings.StopMillis.Duration())
-	defer cancel()
-	return d.Stop(ctx)
+	return c.runAlone(settings, doc, log)
 }
 
-// read reads settings and document. It prints the faults of both and returns errFaulty when there are any.
+// read reads the files. It prints their faults and returns errFaulty when there are any.
 func (c *runCommand) read() (decoder.Settings, *tiller.Document, error) {
-	settingsText, err := os.ReadFile(c.Settings)
+	text, err := os.ReadFile(c.Settings)
 	if err != nil {
 		return decoder.Settings{}, nil, fmt.Errorf("settings: %w", err)
 	}
-	documentText, err := os.ReadFile(c.Document)
-	if err != nil {
-		return decoder.Settings{}, nil, fmt.Errorf("document: %w", err)
+	settings, faults := decoder.DecodeSettings(c.Settings, text)
+	var doc *tiller.Document
+	if c.Document != "" {
+		text, err := os.ReadFile(c.Document)
+		if err != nil {
+			return decoder.Settings{}, nil, fmt.Errorf("document: %w", err)
+		}
+		decoded, documentFaults := decoder.DecodeDocument(c.Document, text)
+		doc = decoded
+		faults = append(faults, documentFaults...)
 	}
-	settings, faults := decoder.DecodeSettings(c.Settings, settingsText)
-	doc, documentFaults := decoder.DecodeDocument(c.Document, documentText)
-	faults = append(faults, documentFaults...)
 	for _, f := range faults {
 		fmt.Fprintln(c.program.stdout, f)
 	}
@@ -77,22 +72,88 @@
 	return settings, doc, nil
 }
 
-// daemonConfig returns the configuration of a daemon without peers.
-func daemonConfig(s decoder.Settings, doc *tiller.Document, log logr.Logger) (assembler.Config, error) {
+// runMember runs a daemon of a fleet.
+func (c *runCommand) runMember(s decoder.Settings, log logr.Logger) error {
+	if s.CertificateFile == "" {
+		return errors.New("a daemon with peers needs CertificateFile, KeyFile and AuthorityFile")
+	}
+	if c.Document != "" {
+		return errors.New("a daemon with peers takes its document from the store, not from --document")
+	}
+	keys, err := messenger.LoadKeys(messenger.KeyFiles{
+		Authority: s.AuthorityFile, Certificate: s.CertificateFile, Key: s.KeyFile,
+	})
+	if err != nil {
+		return err
+	}
+	platform, err := joiner.ConnectStore(s.PlatformAddresses)
+	if err != nil {
+		return err
+	}
+	m, err := joiner.Start(joiner.Config{
+		Clock:           tiller.SystemClock(),
+		Logger:          log,
+		Name:            s.Name,
+		Domain:          s.Domain,
+		Environment:     s.Environment,
+		CallerAddress:   s.CallerAddress,
+		OperatorAddress: s.OperatorAddress,
+		PeerAddress:     s.PeerAddress,
+		Platform:        platform,
+		Keys:            keys,
+		DrainMillis:     drainMillis(s),
+	})
+	if err != nil {
+		return err
+	}
+	logServing(log, m.Daemon())
+	var lost error
+	select {
+	case <-c.program.ctx.Done():
+	case lost = <-m.Lost():
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.StopMillis.Duration())
+	defer cancel()
+	return errors.Join(lost, m.Stop(ctx))
+}
+
+// runAlone runs a daemon without peers.
+func (c *runCommand) runAlone(s decoder.Settings, doc *tiller.Document, log logr.Logger) error {
 	switch {
+	case doc == nil:
+		return errors.New("a daemon with a Seat in its settings needs --document")
 	case s.Environment != doc.Environment:
-		return assembler.Config{}, fmt.Errorf("the settings are for %s and the document for %s", s.Environment, doc.Environment)
-	case s.Seat == nil:
-		return assembler.Config{}, errors.New("the settings have no Seat, and seats cannot be claimed yet")
+		return fmt.Errorf("the settings are for %s and the document for %s", s.Environment, doc.Environment)
 	case doc.Seats != 1:
 		// Without leases each of several daemons would take the whole capacity of every upstream for its own.
-		return assembler.Config{}, errors.New("a daemon without peers needs a document with one seat")
+		return errors.New("a daemon without peers needs a document with one seat")
 	}
-	return assembler.Config{
+	d, err := assembler.New(assembler.Config{
 		Clock:           tiller.SystemClock(),
-		Logger:          log.WithValues("Name", s.Name),
+		Logger:          log,
 		CallerAddress:   s.CallerAddress,
 		OperatorAddress: s.OperatorAddress,
-		DrainMillis:     min(s.StopMillis/10, greatestDrainMillis),
-	}, nil
+		DrainMillis:     drainMillis(s),
+	})
+	if err != nil {
+		return err
+	}
+	d.TakeSeat(*s.Seat, 1)
+	if err := d.Apply(doc); err != nil {
+		d.Close()
+		return err
+	}
+	logServing(log, d)
+	<-c.program.ctx.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), s.StopMillis.Duration())
+	defer cancel()
+	return d.Stop(ctx)
+}
+
+func drainMillis(s decoder.Settings) tiller.Millis {
+	return min(s.StopMillis/10, greatestDrainMillis)
+}
+
+func logServing(log logr.Logger, d *assembler.Daemon) {
+	log.Info("serving", "Callers", d.CallerAddress(), "Operators", d.OperatorAddress())
 }
--- a/joiner/join.go
+++ b/joiner/join.go
@@ -109,6 +109,7 @@
 			wait = keeper.SeatRenewMillis
 		case errors.Is(err, keeper.ErrLeaseEnded), m.cfg.Clock.Now()+renewAgainMillis >= held.Until:
 			m.cfg.Logger.Error(err, "seat lost", "Seat", held.Number)
+			m.daemon.Resign()
 			m.lost <- ErrSeatLost
 			return
 		default:
--- a/joiner/peer.go
+++ b/joiner/peer.go
@@ -28,6 +28,7 @@
 		},
 		SendLease:    func(e reducer.SendLease) { m.messenger.SendLease(e.To, e.Message) },
 		Announce:     m.announce,
+		FinishMove:   m.finishMove,
 		SpreadMillis: m.cfg.SpreadMillis,
 	}
 }
