Keep the place of an abandoned request on a cold upstream

A cancelled attempt gave its place back at once, while the upstream notices the cancellation later; and a failure domain that came back was taken to be as warm as before. While such an attempt runs, the same request sent again is not refused NotRun. Ruled out: a pause after the cancellation, which is only as good as the guess.

--- a/reducer/attempt.go
+++ b/reducer/attempt.go
@@ -125,7 +125,7 @@
 	if len(m.waiting) > 0 {
 		s.free(m)
 	}
-	if m.gone && len(m.attempts) == 0 {
+	if m.gone && m.isIdle() {
 		s.forget(m)
 	}
 	s.touch(m.unit)
@@ -143,13 +143,22 @@
 		s.measureOf(q).attempts.Record(s.now, age)
 		s.sample(a, age, false)
 	}
-	a.member.limit = a.member.limit.WithEnded()
+	isCold := a.member.limit.Cold()
+	if isCold {
+		s.orphan(id, a)
+	} else {
+		a.member.limit = a.member.limit.WithEnded()
+	}
 	s.end(id, a)
 	for _, sh := range a.shards {
 		q.running.shards[sh].drop(id)
 	}
 	s.count(CountCancellation, reason, 1)
 	s.record(q, recorder.Decision{What: recorder.Cancelled, Upstream: a.member.upstream.spec.Name, Attempt: id, Reason: reason})
+	if isCold {
+		s.emit(AbandonAttempt{Attempt: id})
+		return
+	}
 	s.emit(CancelAttempt{Attempt: id, Reason: reason})
 }
 
--- a/reducer/document.go
+++ b/reducer/document.go
@@ -64,12 +64,17 @@
 			continue
 		}
 		replaced := spec.Address != u.spec.Address
+		closed := u.out || u.spec.Leaving
 		u.spec = spec
 		u.out = s.catalog.domains[spec.Domain].Out
 		if replaced {
 			u.draining, u.incarnation = false, 0
 			s.restart(u, false)
 		}
+		// An upstream that comes back into service starts cold, whether or not it was restarted meanwhile.
+		if closed && !u.out && !spec.Leaving {
+			s.chill(u)
+		}
 	}
 }
 
--- a/reducer/failed.go
+++ b/reducer/failed.go
@@ -10,6 +10,7 @@
 func (s *State) onAttemptFailed(e AttemptFailed) {
 	a, ok := s.attempts[e.Attempt]
 	if !ok {
+		s.failOrphan(e)
 		s.count(CountDropped, e.Reason, 1)
 		return
 	}
@@ -33,7 +34,7 @@
 	if e.Reason == tiller.ReasonDraining {
 		s.drain(a.member.upstream)
 	}
-	s.limitAfter(a, e)
+	s.limitAfter(id, a, e)
 	s.end(id, a)
 	failed := q.lose(id, a, e.Reason)
 	s.learn(a, e)
@@ -65,8 +66,12 @@
 }
 
 // limitAfter takes a failed attempt from its member's limit.
-func (s *State) limitAfter(a attempt, e AttemptFailed) {
+func (s *State) limitAfter(id tiller.AttemptID, a attempt, e AttemptFailed) {
 	m := a.member
+	if m.limit.Cold() && mayStillRun(e) {
+		s.orphan(id, a)
+		return
+	}
 	if e.Reason != tiller.ReasonShed {
 		m.limit = m.limit.WithEnded()
 		return
@@ -78,6 +83,15 @@
 	s.pause(m, min(max(e.RetryAfter, shedPauseMillis), longestPauseMillis))
 }
 
+// mayStillRun says whether the upstream may be running a failed attempt. A lost connection ends it there.
+func mayStillRun(e AttemptFailed) bool {
+	switch e.Reason {
+	case tiller.ReasonTimeout, tiller.ReasonSilent:
+		return e.Verdict != tiller.NotRun
+	}
+	return false
+}
+
 // learn takes from a failed attempt what it says about the upstream.
 func (s *State) learn(a attempt, e AttemptFailed) {
 	m := a.member
--- a/reducer/finish.go
+++ b/reducer/finish.go
@@ -90,6 +90,9 @@
 // reply sends the result of a query back to where the query came from.
 func (s *State) reply(q *query, result tiller.Result) {
 	d := recorder.Decision{What: recorder.Answered}
+	if result.Refusal != nil && result.Refusal.Verdict == tiller.NotRun && s.orphaned[q.key.sender()] > 0 {
+		result.Refusal.Verdict = tiller.MayHaveRun
+	}
 	if result.Refusal != nil {
 		d = recorder.Decision{What: recorder.Refused, Reason: result.Refusal.Reason, Detail: result.Refusal.Verdict.String()}
 		s.count(CountRefusal, result.Refusal.Reason, 1)
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -43,6 +43,8 @@
 	tokens  []string
 	counts  map[string]int64
 	stopped bool
+	// ignoreCancels keeps upstreams from hearing of cancellations.
+	ignoreCancels bool
 }
 
 func newSim(t testing.TB, seed uint64, d *tiller.Document, cfg reducer.Config) *sim {
@@ -101,7 +103,9 @@
 		u := s.upstreams[e.Upstream]
 		s.after(s.hop, func() { u.receive(e.Request) })
 	case reducer.CancelAttempt:
-		s.after(s.hop, func() { s.cancel(e.Attempt) })
+		if !s.ignoreCancels {
+			s.after(s.hop, func() { s.cancel(e.Attempt) })
+		}
 	case reducer.Reply:
 		s.results[e.Ref] = e.Result
 		s.taken[e.Ref] = s.now - s.arrived[e.Ref]
--- a/reducer/member.go
+++ b/reducer/member.go
@@ -41,7 +41,9 @@
 	paused bool
 	pauses int
 	// strikes counts the attempts in a row that ended without a response.
-	strikes  int
+	strikes int
+	// orphans is the number of attempts in flight that belong to no query any more.
+	orphans  int
 	attempts map[tiller.AttemptID]struct{}
 	// waiting are the queries that wait for room, by start tag.
 	waiting []wait
@@ -63,6 +65,9 @@
 // isOpen says whether the unit may send new attempts to the upstream.
 func (m *member) isOpen() bool { return !m.gone && !m.barred && m.upstream.isOpen() }
 
+// isIdle says whether nothing is in flight.
+func (m *member) isIdle() bool { return len(m.attempts) == 0 && m.orphans == 0 }
+
 // isSlow says whether other upstreams are preferred because this one has stopped responding.
 func (m *member) isSlow() bool { return m.strikes >= slowStrikes }
 
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -42,6 +42,11 @@
 	waiting  map[uint64]*query
 	attempts map[tiller.AttemptID]attempt
 	forwards map[ForwardID]*query
+	// orphans are attempts in flight that belong to no query any more.
+	orphans map[tiller.AttemptID]*orphan
+	// orphaned counts the orphans of each request. While there is one, a refusal of the same request
+	// sent again cannot say NotRun.
+	orphaned map[queryKey]int
 	digests  map[uint64]*digest
 	// faults holds what is known of faulty versions, by the name of the rollout. Entries are never removed
 	// while the process runs: a fault is not taken back.
@@ -79,6 +84,8 @@
 		waiting:    make(map[uint64]*query),
 		attempts:   make(map[tiller.AttemptID]attempt),
 		forwards:   make(map[ForwardID]*query),
+		orphans:    make(map[tiller.AttemptID]*orphan),
+		orphaned:   make(map[queryKey]int),
 		digests:    make(map[uint64]*digest),
 		faults:     make(map[string]string),
 		tokens:     spender.New(orDefault(cfg.TokenLimit, defaultTokenLimit)),
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -31,6 +31,8 @@
 	timerResume
 	// timerQuota puts a larger quota in force.
 	timerQuota
+	// timerOrphan frees the place of an attempt that nobody waits for.
+	timerOrphan
 	// timerRollout looks at the evidence of a rollout.
 	timerRollout
 	// timerWarmth asks again which upstreams are warm.
@@ -48,6 +50,7 @@
 	query    *query
 	unit     *unit
 	member   *member
+	attempt  tiller.AttemptID
 }
 
 func newTimers() *queuer.Heap[*timer] {
@@ -113,6 +116,8 @@
 		s.resume(t.member)
 	case timerQuota:
 		s.growQuota(t.member)
+	case timerOrphan:
+		s.expireOrphan(t.attempt)
 	case timerRollout:
 		s.onRolloutDue(t.unit)
 	case timerWarmth:
--- a/reducer/unit.go
+++ b/reducer/unit.go
@@ -138,7 +138,7 @@
 		if !m.isOpen() {
 			s.abandon(m)
 		}
-		if !ok && len(m.attempts) == 0 {
+		if !ok && m.isIdle() {
 			s.forget(m)
 		}
 	}
--- a/reducer/upstream.go
+++ b/reducer/upstream.go
@@ -102,6 +102,7 @@
 		s.drain(u)
 	case u.draining && s.now-u.drainingAt >= drainHoldMillis:
 		u.draining = false
+		s.chill(u)
 		s.reopen(u)
 	}
 	for _, m := range u.members {
