--- a/api/operator/oas_client_gen.go
+++ b/api/operator/oas_client_gen.go
@@ -33,6 +33,12 @@
 	//
 	// GET /v1/document/{env}
 	GetDocument(ctx context.Context, params GetDocumentParams) (GetDocumentRes, error)
+	// History invokes history operation.
+	//
+	// Returns the newest accepted changes of the document of an environment, as the store has them.
+	//
+	// GET /v1/history/{env}
+	History(ctx context.Context, params HistoryParams) (HistoryRes, error)
 	// PutDocument invokes putDocument operation.
 	//
 	// Replaces the document of an environment if its revision is still the expected one.
@@ -208,6 +214,67 @@
 	return result, nil
 }
 
+// History invokes history operation.
+//
+// Returns the newest accepted changes of the document of an environment, as the store has them.
+//
+// GET /v1/history/{env}
+func (c *Client) History(ctx context.Context, params HistoryParams) (HistoryRes, error) {
+	res, err := c.sendHistory(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendHistory(ctx context.Context, params HistoryParams) (res HistoryRes, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/v1/history/"
+	{
+		// Encode "env" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "env",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(string(params.Env)))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeHistoryResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // PutDocument invokes putDocument operation.
 //
 // Replaces the document of an environment if its revision is still the expected one.
--- a/api/operator/oas_handlers_gen.go
+++ b/api/operator/oas_handlers_gen.go
@@ -196,6 +196,90 @@
 	}
 }
 
+// handleHistoryRequest handles history operation.
+//
+// Returns the newest accepted changes of the document of an environment, as the store has them.
+//
+// GET /v1/history/{env}
+func (s *Server) handleHistoryRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: HistoryOperation,
+			ID:   "history",
+		}
+	)
+	params, err := decodeHistoryParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response HistoryRes
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    HistoryOperation,
+			OperationSummary: "",
+			OperationID:      "history",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "env",
+					In:   "path",
+				}: params.Env,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = HistoryParams
+			Response = HistoryRes
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackHistoryParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.History(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.History(ctx, params)
+	}
+	if err != nil {
+		defer recordError("Internal", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	if err := encodeHistoryResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handlePutDocumentRequest handles putDocument operation.
 //
 // Replaces the document of an environment if its revision is still the expected one.
--- a/api/operator/oas_interfaces_gen.go
+++ b/api/operator/oas_interfaces_gen.go
@@ -9,6 +9,10 @@
 	getDocumentRes()
 }
 
+type HistoryRes interface {
+	historyRes()
+}
+
 type PutDocumentRes interface {
 	putDocumentRes()
 }
--- a/api/operator/oas_json_gen.go
+++ b/api/operator/oas_json_gen.go
@@ -803,6 +803,129 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *History) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *History) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("Revision")
+		e.Int64(s.Revision)
+	}
+	{
+		e.FieldStart("Changes")
+		e.ArrStart()
+		for _, elem := range s.Changes {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfHistory = [2]string{
+	0: "Revision",
+	1: "Changes",
+}
+
+// Decode decodes History from json.
+func (s *History) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode History to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "Revision":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Int64()
+				s.Revision = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"Revision\"")
+			}
+		case "Changes":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				s.Changes = make([]PastChange, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem PastChange
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Changes = append(s.Changes, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"Changes\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode History")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfHistory) {
+					name = jsonFieldsNameOfHistory[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *History) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *History) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes int64 as json.
 func (o OptInt64) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -873,6 +996,153 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *PastChange) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *PastChange) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("Revision")
+		e.Int64(s.Revision)
+	}
+	{
+		e.FieldStart("Operation")
+		e.Str(s.Operation)
+	}
+	{
+		e.FieldStart("Operator")
+		e.Str(s.Operator)
+	}
+	{
+		e.FieldStart("AtMillis")
+		e.Int64(s.AtMillis)
+	}
+}
+
+var jsonFieldsNameOfPastChange = [4]string{
+	0: "Revision",
+	1: "Operation",
+	2: "Operator",
+	3: "AtMillis",
+}
+
+// Decode decodes PastChange from json.
+func (s *PastChange) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode PastChange to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "Revision":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Int64()
+				s.Revision = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"Revision\"")
+			}
+		case "Operation":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Operation = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"Operation\"")
+			}
+		case "Operator":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Operator = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"Operator\"")
+			}
+		case "AtMillis":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int64()
+				s.AtMillis = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"AtMillis\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode PastChange")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00001111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfPastChange) {
+					name = jsonFieldsNameOfPastChange[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *PastChange) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *PastChange) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Status) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/api/operator/oas_operations_gen.go
+++ b/api/operator/oas_operations_gen.go
@@ -8,6 +8,7 @@
 const (
 	ExplainOperation     OperationName = "Explain"
 	GetDocumentOperation OperationName = "GetDocument"
+	HistoryOperation     OperationName = "History"
 	PutDocumentOperation OperationName = "PutDocument"
 	StatusOperation      OperationName = "Status"
 )
--- a/api/operator/oas_parameters_gen.go
+++ b/api/operator/oas_parameters_gen.go
@@ -172,6 +172,79 @@
 	return params, nil
 }
 
+// HistoryParams is parameters of history operation.
+type HistoryParams struct {
+	Env HistoryEnv
+}
+
+func unpackHistoryParams(packed middleware.Parameters) (params HistoryParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "env",
+			In:   "path",
+		}
+		params.Env = packed[key].(HistoryEnv)
+	}
+	return params
+}
+
+func decodeHistoryParams(args [1]string, argsEscaped bool, r *http.Request) (params HistoryParams, _ error) {
+	// Decode path: env.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "env",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Env = HistoryEnv(c)
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := params.Env.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "env",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // PutDocumentParams is parameters of putDocument operation.
 type PutDocumentParams struct {
 	Env PutDocumentEnv
--- a/api/operator/oas_response_decoders_gen.go
+++ b/api/operator/oas_response_decoders_gen.go
@@ -206,6 +206,107 @@
 	return res, nil
 }
 
+func decodeHistoryResponse(resp *http.Response) (res HistoryRes, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response History
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Default response.
+	res, err := func() (res HistoryRes, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Error
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &ErrorStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, nil
+}
+
 func decodePutDocumentResponse(resp *http.Response) (res PutDocumentRes, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/api/operator/oas_response_encoders_gen.go
+++ b/api/operator/oas_response_encoders_gen.go
@@ -88,6 +88,45 @@
 	}
 }
 
+func encodeHistoryResponse(response HistoryRes, w http.ResponseWriter) error {
+	switch response := response.(type) {
+	case *History:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		w.WriteHeader(200)
+
+		e := new(jx.Encoder)
+		response.Encode(e)
+		if _, err := e.WriteTo(w); err != nil {
+			return errors.Wrap(err, "write")
+		}
+
+		return nil
+
+	case *ErrorStatusCode:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		code := response.StatusCode
+		if code == 0 {
+			// Set default status code.
+			code = http.StatusOK
+		}
+		w.WriteHeader(code)
+
+		e := new(jx.Encoder)
+		response.Response.Encode(e)
+		if _, err := e.WriteTo(w); err != nil {
+			return errors.Wrap(err, "write")
+		}
+
+		if code >= http.StatusInternalServerError {
+			return errors.Wrapf(ht.ErrInternalServerErrorResponse, "code: %d, message: %s", code, http.StatusText(code))
+		}
+		return nil
+
+	default:
+		return errors.Errorf("unexpected response type: %T", response)
+	}
+}
+
 func encodePutDocumentResponse(response PutDocumentRes, w http.ResponseWriter) error {
 	switch response := response.(type) {
 	case *Accepted:
--- a/api/operator/oas_router_gen.go
+++ b/api/operator/oas_router_gen.go
@@ -143,6 +143,42 @@
 					return
 				}
 
+			case 'h': // Prefix: "history/"
+
+				if l := len("history/"); len(elem) >= l && elem[0:l] == "history/" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				// Param: "env"
+				// Leaf parameter, slashes are prohibited
+				idx := strings.IndexByte(elem, '/')
+				if idx >= 0 {
+					break
+				}
+				args[0] = elem
+				elem = ""
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleHistoryRequest([1]string{
+							args[0],
+						}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: nil,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			case 's': // Prefix: "status"
 
 				if l := len("status"); len(elem) >= l && elem[0:l] == "status" {
@@ -345,6 +381,40 @@
 					}
 				}
 
+			case 'h': // Prefix: "history/"
+
+				if l := len("history/"); len(elem) >= l && elem[0:l] == "history/" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				// Param: "env"
+				// Leaf parameter, slashes are prohibited
+				idx := strings.IndexByte(elem, '/')
+				if idx >= 0 {
+					break
+				}
+				args[0] = elem
+				elem = ""
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = HistoryOperation
+						r.summary = ""
+						r.operationID = "history"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/history/{env}"
+						r.args = args
+						r.count = 1
+						return r, true
+					default:
+						return
+					}
+				}
+
 			case 's': // Prefix: "status"
 
 				if l := len("status"); len(elem) >= l && elem[0:l] == "status" {
--- a/api/operator/oas_schemas_gen.go
+++ b/api/operator/oas_schemas_gen.go
@@ -292,6 +292,7 @@
 
 func (*ErrorStatusCode) explainRes()     {}
 func (*ErrorStatusCode) getDocumentRes() {}
+func (*ErrorStatusCode) historyRes()     {}
 func (*ErrorStatusCode) putDocumentRes() {}
 
 type ErrorVerdict string
@@ -411,6 +412,76 @@
 	}
 }
 
+// Ref: #/components/schemas/History
+type History struct {
+	// The newest revision.
+	Revision int64        `json:"Revision"`
+	Changes  []PastChange `json:"Changes"`
+}
+
+// GetRevision returns the value of Revision.
+func (s *History) GetRevision() int64 {
+	return s.Revision
+}
+
+// GetChanges returns the value of Changes.
+func (s *History) GetChanges() []PastChange {
+	return s.Changes
+}
+
+// SetRevision sets the value of Revision.
+func (s *History) SetRevision(val int64) {
+	s.Revision = val
+}
+
+// SetChanges sets the value of Changes.
+func (s *History) SetChanges(val []PastChange) {
+	s.Changes = val
+}
+
+func (*History) historyRes() {}
+
+type HistoryEnv string
+
+const (
+	HistoryEnvTrial      HistoryEnv = "trial"
+	HistoryEnvProduction HistoryEnv = "production"
+)
+
+// AllValues returns all HistoryEnv values.
+func (HistoryEnv) AllValues() []HistoryEnv {
+	return []HistoryEnv{
+		HistoryEnvTrial,
+		HistoryEnvProduction,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s HistoryEnv) MarshalText() ([]byte, error) {
+	switch s {
+	case HistoryEnvTrial:
+		return []byte(s), nil
+	case HistoryEnvProduction:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *HistoryEnv) UnmarshalText(data []byte) error {
+	switch HistoryEnv(data) {
+	case HistoryEnvTrial:
+		*s = HistoryEnvTrial
+		return nil
+	case HistoryEnvProduction:
+		*s = HistoryEnvProduction
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
 // NewOptInt64 returns new OptInt64 with value set to v.
 func NewOptInt64(v int64) OptInt64 {
 	return OptInt64{
@@ -503,6 +574,55 @@
 	return d
 }
 
+// Ref: #/components/schemas/PastChange
+type PastChange struct {
+	Revision  int64  `json:"Revision"`
+	Operation string `json:"Operation"`
+	Operator  string `json:"Operator"`
+	// Time of acceptance in milliseconds since the Unix epoch, on the clock of the accepting daemon.
+	AtMillis int64 `json:"AtMillis"`
+}
+
+// GetRevision returns the value of Revision.
+func (s *PastChange) GetRevision() int64 {
+	return s.Revision
+}
+
+// GetOperation returns the value of Operation.
+func (s *PastChange) GetOperation() string {
+	return s.Operation
+}
+
+// GetOperator returns the value of Operator.
+func (s *PastChange) GetOperator() string {
+	return s.Operator
+}
+
+// GetAtMillis returns the value of AtMillis.
+func (s *PastChange) GetAtMillis() int64 {
+	return s.AtMillis
+}
+
+// SetRevision sets the value of Revision.
+func (s *PastChange) SetRevision(val int64) {
+	s.Revision = val
+}
+
+// SetOperation sets the value of Operation.
+func (s *PastChange) SetOperation(val string) {
+	s.Operation = val
+}
+
+// SetOperator sets the value of Operator.
+func (s *PastChange) SetOperator(val string) {
+	s.Operator = val
+}
+
+// SetAtMillis sets the value of AtMillis.
+func (s *PastChange) SetAtMillis(val int64) {
+	s.AtMillis = val
+}
+
 type PutDocumentEnv string
 
 const (
@@ -552,7 +672,8 @@
 	Environment string `json:"Environment"`
 	// Revision of the document in force.
 	Revision int64 `json:"Revision"`
-	// Milliseconds since the revision was last confirmed.
+	// Milliseconds since the store is known to have held this revision as its newest, -1 when that was
+	// never known.
 	KnowledgeAgeMillis int64            `json:"KnowledgeAgeMillis"`
 	Stopping           bool             `json:"Stopping"`
 	Units              []Unit           `json:"Units"`
--- a/api/operator/oas_server_gen.go
+++ b/api/operator/oas_server_gen.go
@@ -20,6 +20,12 @@
 	//
 	// GET /v1/document/{env}
 	GetDocument(ctx context.Context, params GetDocumentParams) (GetDocumentRes, error)
+	// History implements history operation.
+	//
+	// Returns the newest accepted changes of the document of an environment, as the store has them.
+	//
+	// GET /v1/history/{env}
+	History(ctx context.Context, params HistoryParams) (HistoryRes, error)
 	// PutDocument implements putDocument operation.
 	//
 	// Replaces the document of an environment if its revision is still the expected one.
--- a/api/operator/oas_validators_gen.go
+++ b/api/operator/oas_validators_gen.go
@@ -222,6 +222,40 @@
 	}
 }
 
+func (s *History) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Changes == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "Changes",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s HistoryEnv) Validate() error {
+	switch s {
+	case "trial":
+		return nil
+	case "production":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
 func (s PutDocumentEnv) Validate() error {
 	switch s {
 	case "trial":
--- a/cmd/tillerctl/commander/fake_test.go
+++ b/cmd/tillerctl/commander/fake_test.go
@@ -29,6 +29,7 @@
 	// beforePut, when set, may refuse a change before it is handled.
 	beforePut func(d *fakeDaemon) *operator.ErrorStatusCode
 	explain   *operator.Explanation
+	history   *operator.History
 }
 
 // start serves d and returns its address.
@@ -107,6 +108,15 @@
 	return &operator.Accepted{Revision: current.Revision + 1}
 }
 
+func (d *fakeDaemon) History(context.Context, operator.HistoryParams) (operator.HistoryRes, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.history == nil {
+		return refuse(operator.ErrorVerdictNotRun, operator.ErrorReasonNotFound), nil
+	}
+	return d.history, nil
+}
+
 func (d *fakeDaemon) Explain(context.Context, operator.ExplainParams) (operator.ExplainRes, error) {
 	if d.explain == nil {
 		return refuse(operator.ErrorVerdictNotRun, operator.ErrorReasonNotFound), nil
--- a/keeper/seat.go
+++ b/keeper/seat.go
@@ -127,13 +127,14 @@
 }
 
 // Holds says whether a process still holds its seat, and not another process that took it for lost.
-// A read that is older than the claim does not count against it.
+// A read that is older than the claim does not count against it. It fails with ErrNotFound when the key is not there,
+// which for a lease that has just been renewed can only be an old read, too.
 func (k *Keeper) Holds(ctx context.Context, c Claimant, s Seat) (bool, error) {
 	h, version, err := k.readHolder(ctx, s.Number)
-	if errors.Is(err, ErrNotFound) {
-		return false, nil
+	if err != nil {
+		return false, err
 	}
-	return version < s.Version || h.holds(c, s.Lease), err
+	return version < s.Version || h.holds(c, s.Lease), nil
 }
 
 // Holder returns the process that holds a seat, if one does.
@@ -200,6 +201,9 @@
 		if err == nil {
 			return written, true, nil
 		}
+		if errors.Is(err, ErrLeaseEnded) {
+			return 0, false, err
+		}
 		// After a conflict or a lost answer the key is read again: it may hold this process's own claim.
 		if waitErr := k.backoff(ctx, try); waitErr != nil {
 			return 0, false, err
--- /dev/null
+++ b/provisioner/change.go
@@ -0,0 +1,149 @@
+package provisioner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/api/operator"
+	"github.com/carawaytiller/carawaytiller/decoder"
+	"github.com/carawaytiller/carawaytiller/keeper"
+	"github.com/carawaytiller/carawaytiller/server"
+)
+
+const (
+	// acceptMillis bounds the time in which the outcome of a change is settled. It is below the
+	// 5 s that tillerctl waits for an answer.
+	acceptMillis tiller.Millis = 4500
+	// getMillis bounds a read for an operator.
+	getMillis tiller.Millis = 4500
+)
+
+// GetDocument returns the stored document of an environment.
+func (p *Provisioner) GetDocument(ctx context.Context, env string) (*operator.StoredDocument, error) {
+	record, err := p.get(ctx, env)
+	if err != nil {
+		return nil, err
+	}
+	return &operator.StoredDocument{Revision: record.Revision, Text: record.Text}, nil
+}
+
+// History returns the newest accepted changes of the document of an environment.
+func (p *Provisioner) History(ctx context.Context, env string) (*operator.History, error) {
+	record, err := p.get(ctx, env)
+	if err != nil {
+		return nil, err
+	}
+	h := &operator.History{Revision: record.Revision, Changes: make([]operator.PastChange, len(record.Operations))}
+	for i, o := range record.Operations {
+		h.Changes[i] = operator.PastChange{Revision: o.Revision, Operation: o.ID, Operator: o.Operator, AtMillis: int64(o.AtMillis)}
+	}
+	return h, nil
+}
+
+// get reads the record of an environment for an operator.
+func (p *Provisioner) get(ctx context.Context, env string) (keeper.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, getMillis.Duration())
+	defer cancel()
+	record, _, err := p.keeper.Read(ctx, env)
+	if err != nil {
+		// A read has no effect, whatever became of it.
+		return record, server.NewOperatorError(tiller.NotRun, operator.ErrorReasonStoreDown, err.Error())
+	}
+	if record.Revision == 0 {
+		return record, server.NewOperatorError(tiller.NotRun, operator.ErrorReasonNotFound, "there is no document for "+env)
+	}
+	return record, nil
+}
+
+// PutDocument checks a change as a whole, has it accepted, puts it in force here and passes it on to peers.
+// The environment may be another one than that of this daemon, whose daemons then learn of it from the store.
+func (p *Provisioner) PutDocument(ctx context.Context, env string, c *operator.Change) (*operator.Accepted, error) {
+	if err := check(env, c.Text); err != nil {
+		return nil, err
+	}
+	// A change that was begun is settled even when the operator has gone, so that it is logged and in force.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptMillis.Duration())
+	defer cancel()
+	revision, record, err := p.keeper.AcceptRecord(ctx, keeper.Change{
+		Environment: env,
+		Operation:   c.Operation,
+		Operator:    c.Operator,
+		Expected:    c.ExpectedRevision,
+		Text:        c.Text,
+	})
+	log := p.cfg.Log.WithValues("Environment", env, "Operator", c.Operator, "Operation", c.Operation)
+	if err != nil {
+		refused := refusal(err)
+		log.Info("change not accepted", "Verdict", refused.Body.Verdict, "Reason", err.Error())
+		return nil, refused
+	}
+	log.Info("change accepted", "Revision", revision)
+	if env == p.cfg.Environment {
+		p.adopt(record)
+	}
+	return &operator.Accepted{Revision: revision}, nil
+}
+
+// adopt puts a record in force that the store is known to hold.
+func (p *Provisioner) adopt(record keeper.Record) {
+	if s := p.current(); s != nil {
+		s.syncer.LearnRecord(record)
+		return
+	}
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
+}
+
+// check returns the refusal of a text that is not a document of env.
+func check(env, text string) error {
+	doc, faults := decoder.DecodeDocument("", []byte(text))
+	if len(faults) > 0 {
+		return faulty(faults)
+	}
+	if doc.Environment != env {
+		return faulty(decoder.Faults{{
+			Line: 1, Column: 1, Field: "Environment", Reason: fmt.Sprintf("the document is for %s and not for %s", doc.Environment, env),
+		}})
+	}
+	return nil
+}
+
+// faulty returns the refusal of a document with faults.
+func faulty(faults decoder.Faults) *server.OperatorError {
+	err := server.NewOperatorError(tiller.NotRun, operator.ErrorReasonBadDocument, fmt.Sprintf("the document has %d faults", len(faults)))
+	for _, f := range faults {
+		err.Body.Faults = append(err.Body.Faults, f.String())
+	}
+	return err
+}
+
+// refusal returns what an operator is told of a change that is not known to be accepted.
+func refusal(err error) *server.OperatorError {
+	verdict := tiller.MayHaveRun
+	var conflict *keeper.ConflictError
+	isConflict := errors.As(err, &conflict)
+	var failure *tiller.Failure
+	switch {
+	case errors.As(err, &failure):
+		verdict = failure.Verdict
+	case isConflict:
+		verdict = tiller.NotRun
+	}
+	switch {
+	case isConflict:
+		refused := server.NewOperatorError(verdict, operator.ErrorReasonConflict, err.Error())
+		refused.Body.Revision = operator.NewOptInt64(conflict.Record.Revision)
+		refused.Body.Text = operator.NewOptString(conflict.Record.Text)
+		return refused
+	case errors.Is(err, keeper.ErrTooLarge):
+		return faulty(decoder.Faults{{Line: 1, Column: 1, Field: "Document", Reason: "with its history it is larger than a value of the store"}})
+	case verdict == tiller.NotRun:
+		return server.NewOperatorError(verdict, operator.ErrorReasonStoreDown, err.Error())
+	}
+	return server.NewOperatorError(verdict, operator.ErrorReasonStoreDown,
+		"the outcome is unknown; the same operation may be sent again and is applied once: "+err.Error())
+}
--- /dev/null
+++ b/provisioner/provisioner_test.go
@@ -0,0 +1,270 @@
+package provisioner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/api/operator"
+	"github.com/carawaytiller/carawaytiller/faker"
+	"github.com/carawaytiller/carawaytiller/keeper"
+	"github.com/carawaytiller/carawaytiller/server"
+)
+
+// mustPut has a change accepted.
+func (d *daemon) mustPut(t *testing.T, c *operator.Change) int64 {
+	t.Helper()
+	accepted, err := d.PutDocument(t.Context(), "trial", c)
+	require.NoError(t, err)
+	return accepted.Revision
+}
+
+// refusedPut has a change refused.
+func (d *daemon) refusedPut(t *testing.T, c *operator.Change) operator.Error {
+	t.Helper()
+	_, err := d.PutDocument(t.Context(), "trial", c)
+	var refused *server.OperatorError
+	require.True(t, errors.As(err, &refused), "got %v", err)
+	return refused.Body
+}
+
+// TestFirstDocument guards against a daemon that cannot take the first document, that takes work before it
+// has document and seat, or that claims a seat of another failure domain although one of its own is free.
+func TestFirstDocument(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		d := w.start(1)
+		time.Sleep(time.Minute)
+		require.Equal(t, "no document", d.Unready())
+		require.EqualValues(t, 1, d.mustPut(t, change("first", 0, text(6, ""))))
+		time.Sleep(2 * time.Second)
+		require.Empty(t, d.Unready())
+		require.Equal(t, []int64{1}, d.revisions())
+		require.Equal(t, 1, d.holding().Seat)
+		second := w.start(4)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 4, second.holding().Seat)
+		address, ok := second.AddressOf(1)
+		require.True(t, ok)
+		require.Equal(t, "10.0.0.1:1", address)
+	})
+}
+
+// TestSeatInLongOutage guards against a seat that is lost in an outage of an hour, a seat that is kept beyond
+// its store lease, after which another process may hold it, and a daemon that never comes back.
+func TestSeatInLongOutage(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		d := w.start(0)
+		d.mustPut(t, change("first", 0, text(3, "")))
+		time.Sleep(40 * time.Minute)
+		first := d.holding()
+		require.Positive(t, first.Until)
+		w.outage(true)
+		time.Sleep(80 * time.Minute)
+		require.Equal(t, first, d.holding(), "the store lease lasts for 2 hours")
+		require.Empty(t, d.Unready())
+		// The last renewal was at most 30 minutes before the outage.
+		w.outage(false)
+		time.Sleep(2 * time.Minute)
+		require.Equal(t, first.Incarnation, d.holding().Incarnation)
+		require.Greater(t, d.holding().Until, first.Until)
+
+		w.outage(true)
+		time.Sleep((keeper.SeatLeaseMillis - 2*tiller.Minute).Duration())
+		require.Zero(t, d.holding(), "2 minutes before the end of the store lease")
+		require.Equal(t, "no seat", d.Unready())
+		w.outage(false)
+		time.Sleep(time.Minute)
+		require.Greater(t, d.holding().Incarnation, first.Incarnation)
+		require.Empty(t, d.Unready())
+	})
+}
+
+// TestSeatTaken guards against two processes that act under one seat: a process whose VM has left
+// the list has to notice that its seat was taken, from its peers at once and from the store at the next renewal.
+func TestSeatTaken(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		run(t, func(t *testing.T, w *world) {
+			first := w.start(0)
+			first.mustPut(t, change("first", 0, text(3, "")))
+			w.start(1)
+			w.start(2)
+			time.Sleep(3 * time.Second)
+			require.Equal(t, 0, first.holding().Seat)
+			first.cut.Store(cut)
+			w.platform.VMs.Remove("vm-0")
+			second := w.start(3)
+			limit := time.Minute
+			if cut {
+				limit = keeper.SeatRenewMillis.Duration()
+			}
+			time.Sleep(limit)
+			require.Positive(t, second.holding().Until)
+			require.Zero(t, first.holding())
+			require.Equal(t, "no seat", first.Unready())
+		})
+	}
+}
+
+// TestPlannedStopFreesSeat guards against a seat that stays held by a process that has stopped as planned.
+func TestPlannedStopFreesSeat(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		first := w.start(0)
+		first.mustPut(t, change("first", 0, text(1, "")))
+		time.Sleep(time.Second)
+		second := w.start(1)
+		time.Sleep(time.Minute)
+		require.Zero(t, second.holding())
+		first.halt()
+		require.Zero(t, first.holding())
+		require.NoError(t, first.Release(t.Context()))
+		time.Sleep(longestPauseMillis.Duration() + time.Second)
+		require.Positive(t, second.holding().Until)
+	})
+}
+
+// TestOutcomes guards against a change that is applied twice or called NotRun although it took effect, and
+// against an operator who does not see what is in the way.
+func TestOutcomes(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		d := w.start(0)
+		d.mustPut(t, change("first", 0, text(3, "1")))
+		time.Sleep(2 * time.Second)
+
+		w.platform.Store.SetFaults(faker.StoreFaults{LoseReplies: 1})
+		require.EqualValues(t, 2, d.mustPut(t, change("second", 1, text(3, "2"))), "the lost reply is settled")
+		require.Equal(t, []int64{1, 2}, d.revisions())
+
+		// The reply is lost, and the store is down before the record can be read back.
+		w.platform.Store.SetFaults(faker.StoreFaults{LoseReplies: 1})
+		w.mu.Lock()
+		w.onPut = func() { w.outage(true) }
+		w.mu.Unlock()
+		unknown := d.refusedPut(t, change("third", 2, text(3, "3")))
+		require.Equal(t, operator.ErrorVerdictMayHaveRun, unknown.Verdict)
+		require.Equal(t, operator.ErrorReasonStoreDown, unknown.Reason)
+		down := d.refusedPut(t, change("fourth", 2, text(3, "4")))
+		require.Equal(t, operator.ErrorVerdictNotRun, down.Verdict)
+		w.mu.Lock()
+		w.onPut = nil
+		w.mu.Unlock()
+		w.outage(false)
+		require.EqualValues(t, 3, d.mustPut(t, change("third", 2, text(3, "3"))))
+
+		conflict := d.refusedPut(t, change("fourth", 2, text(3, "4")))
+		require.Equal(t, operator.ErrorVerdictNotRun, conflict.Verdict)
+		require.Equal(t, operator.ErrorReasonConflict, conflict.Reason)
+		require.EqualValues(t, 3, conflict.Revision.Value)
+		require.Equal(t, text(3, "3"), conflict.Text.Value)
+
+		// A repeated operation says what it led to, whatever text comes with it.
+		require.EqualValues(t, 2, d.mustPut(t, change("second", 1, text(9, "other"))))
+		stored, err := d.GetDocument(t.Context(), "trial")
+		require.NoError(t, err)
+		require.Equal(t, text(3, "3"), stored.Text)
+		require.Equal(t, []int64{1, 2, 3}, d.revisions())
+		history, err := d.History(t.Context(), "trial")
+		require.NoError(t, err)
+		require.Len(t, history.Changes, 3)
+		require.Equal(t, "third", history.Changes[2].Operation)
+		_, err = d.GetDocument(t.Context(), "production")
+		require.ErrorContains(t, err, "NotFound")
+	})
+}
+
+// TestRefusedDocuments guards against a document with faults, or for another environment, that reaches the store.
+func TestRefusedDocuments(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		d := w.start(0)
+		for _, test := range []struct{ text, fault string }{
+			{`{`, "1:2: Document: "},
+			{`{"Environment": "trial", "Seats": 0, "Domains": [], "Upstreams": [], "Services": []}`, "1:35: Seats: 0 is less than 1"},
+			{`{"Environment": "production", "Seats": 1, "Domains": [{"Name": "a", "Region": "r"}], "Upstreams": [], "Services": []}`, "for production and not for trial"},
+		} {
+			body := d.refusedPut(t, change("x", 0, test.text))
+			require.Equal(t, operator.ErrorReasonBadDocument, body.Reason)
+			require.Contains(t, body.Faults[0], test.fault)
+		}
+		_, _, found := w.platform.Store.Get("/carawaytiller/trial/document")
+		require.False(t, found)
+	})
+}
+
+// retryMargin allows for the waits of a change between its tries.
+const retryMargin = tiller.Second
+
+// TestPlatformAddresses guards against a daemon that depends on one address of the platform, whether
+// calls to it are refused or never answered.
+func TestPlatformAddresses(t *testing.T) {
+	for _, f := range []fault{refused, silent} {
+		run(t, func(t *testing.T, w *world) {
+			w.setFault("one", f)
+			d := w.start(0)
+			d.mustPut(t, change("first", 0, text(3, "")))
+			time.Sleep(5 * time.Second)
+			require.Empty(t, d.Unready())
+			w.setFault("one", noFault)
+			w.setFault("two", f)
+			begin := w.clock.Now()
+			require.EqualValues(t, 2, d.mustPut(t, change("second", 1, text(3, ""))))
+			require.LessOrEqual(t, w.clock.Now()-begin, callMillis+retryMargin)
+			require.Equal(t, []int64{1, 2}, d.revisions())
+		})
+	}
+}
+
+// TestRestartTakesNewestRevision guards against a daemon that starts with an old revision because
+// the store returns old records, and one that goes back to a lower revision.
+func TestRestartTakesNewestRevision(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		first := w.start(0)
+		first.mustPut(t, change("1", 0, text(6, "1")))
+		time.Sleep(time.Second)
+		// An old record of the seat of a process that has started again shows the same address.
+		first.halt()
+		first = w.start(0)
+		second := w.start(1)
+		time.Sleep(3 * time.Second)
+		first.mustPut(t, change("2", 1, text(6, "2")))
+		time.Sleep(time.Second)
+		first.mustPut(t, change("3", 2, text(6, "3")))
+		time.Sleep(time.Second)
+		require.Equal(t, []int64{1, 2, 3}, second.revisions())
+		w.platform.Store.SetFaults(faker.StoreFaults{StaleReads: true})
+		// Seat 5 does not watch the store.
+		third := w.start(5)
+		for third.Unready() != "" {
+			time.Sleep(10 * time.Millisecond)
+			synctest.Wait()
+			require.NotContains(t, third.revisions(), int64(1))
+			require.NotContains(t, third.revisions(), int64(2))
+		}
+		require.Equal(t, []int64{3}, third.revisions())
+		time.Sleep(time.Hour)
+		require.Equal(t, []int64{3}, third.revisions())
+		require.Equal(t, []int64{1, 2, 3}, first.revisions())
+		revision, age := third.State()
+		require.EqualValues(t, 3, revision)
+		require.Less(t, age, 15*tiller.Second)
+	})
+}
+
+// TestStopWhileWaiting guards against a stop that waits for the store.
+func TestStopWhileWaiting(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.setFault("one", silent)
+		w.setFault("two", silent)
+		d := w.start(0)
+		time.Sleep(time.Second)
+		begin := w.clock.Now()
+		d.halt()
+		require.Equal(t, begin, w.clock.Now())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.NoError(t, d.Release(ctx), "no seat was claimed")
+	})
+}
--- /dev/null
+++ b/provisioner/session.go
@@ -0,0 +1,229 @@
+package provisioner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/distributor"
+	"github.com/carawaytiller/carawaytiller/keeper"
+	"github.com/carawaytiller/carawaytiller/syncer"
+)
+
+const (
+	// learnMillis bounds the wait of a daemon with a new seat for the revisions of its peers.
+	// It leaves time for a second comparison.
+	learnMillis = 3 * distributor.CompareMillis / 2
+	// readMillis bounds a read of the store by the syncer, which compares with no peer meanwhile.
+	readMillis = tiller.Second
+)
+
+// session is the time for which a process holds one seat.
+type session struct {
+	p      *Provisioner
+	syncer *syncer.Syncer
+	// seat is the seat as it was claimed.
+	seat keeper.Seat
+	// until is the time from which the process must no longer act under the seat. Only keep uses it.
+	until tiller.Millis
+
+	lost     chan struct{}
+	loseOnce sync.Once
+
+	mu sync.Mutex
+	// isOpen says that documents are put in force. Before, the newest one is kept.
+	isOpen bool
+	newest *tiller.Document
+	// known are the addresses of some seats, as read from the store at the start.
+	known map[int]string
+	// heard are the seats that have sent something; the way back to them is known to the transport.
+	heard map[int]bool
+	// unheard are the seats among them whose revision is not known or still to come;
+	// allHeard is closed when there are none.
+	unheard  map[int]bool
+	allHeard chan struct{}
+}
+
+// serve does the work of the daemon at a seat until ctx ends or the seat is lost.
+func (p *Provisioner) serve(ctx context.Context, c claimed) {
+	s := p.begin(c.seat)
+	ctx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	// The addresses of some peers must be known before the first document, which is compared with them.
+	s.lookUp(ctx, c.doc.Seats)
+	s.learn(ctx, c.record)
+	group.Go(func() { s.syncer.Run(ctx) })
+	group.Go(func() { s.becomeReady(ctx) })
+	s.keep(ctx)
+	p.end(s, ctx.Err() != nil)
+	cancel()
+	group.Wait()
+}
+
+// begin tells the daemon its seat.
+func (p *Provisioner) begin(seat keeper.Seat) *session {
+	s := &session{p: p, seat: seat, until: heldUntil(seat), lost: make(chan struct{})}
+	s.heard, s.unheard, s.allHeard = map[int]bool{}, map[int]bool{}, make(chan struct{})
+	s.syncer = syncer.New(syncer.Config{
+		Seat:   seat.Number,
+		Clock:  p.cfg.Clock,
+		Random: p.cfg.Random,
+		Sleep:  sleep,
+		Send:   s.send,
+		Apply:  s.apply,
+		Read:   s.read,
+		Watch: func(ctx context.Context, learned func(keeper.Record)) {
+			p.keeper.Watch(ctx, p.cfg.Environment, learned)
+		},
+		Decode: decode,
+		Log:    p.cfg.Log,
+	})
+	p.mu.Lock()
+	p.session, p.unready = s, unreadyLearning
+	p.mu.Unlock()
+	p.cfg.Hold(Holding{Seat: seat.Number, Incarnation: seat.Incarnation, Until: s.until})
+	p.cfg.Log.Info("seat claimed", "Seat", seat.Number, "Incarnation", seat.Incarnation)
+	return s
+}
+
+// end tells the daemon that it has no seat any more. At a planned stop the seat is kept for Release.
+func (p *Provisioner) end(s *session, planned bool) {
+	p.mu.Lock()
+	p.session, p.unready = nil, unreadyNoSeat
+	if planned {
+		p.released = &s.seat
+	}
+	p.mu.Unlock()
+	p.cfg.Leave()
+}
+
+// read reads the record of the environment for the syncer.
+func (s *session) read(ctx context.Context) (keeper.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, readMillis.Duration())
+	defer cancel()
+	record, _, err := s.p.keeper.Read(ctx, s.p.cfg.Environment)
+	return record, err
+}
+
+// learn takes the record of the store as it is after the claim, or else the one that was read before,
+// which makes the syncer compare with peers. The address of the seat is announced before, to the seats that were
+// looked up, so that they can reply and pass it on.
+func (s *session) learn(ctx context.Context, before keeper.Record) {
+	c := s.p.claimant
+	own := syncer.SeatAddress{Address: c.Address, Domain: c.Domain, VM: c.VM}
+	s.syncer.AnnounceSeat(s.seat.Number, s.seat.Incarnation, own)
+	if f, ok := s.syncer.SeatFact(s.seat.Number); ok {
+		for seat := range s.known {
+			s.p.cfg.Send(seat, distributor.Message{Push: &distributor.Push{Facts: []distributor.Fact{f}, Age: -1}})
+		}
+	}
+	if record, err := s.read(ctx); err == nil && record.Revision > before.Revision {
+		before = record
+	}
+	s.syncer.LearnRecord(before)
+}
+
+// becomeReady waits for the revisions of the peers whose addresses are known, puts the highest revision in force,
+// and lets the daemon take work. So a daemon that restarts does not serve an earlier revision than before
+// when the store returns an old record.
+func (s *session) becomeReady(ctx context.Context) {
+	timer := time.NewTimer(learnMillis.Duration())
+	defer timer.Stop()
+	select {
+	case <-s.allHeard:
+	case <-timer.C:
+	case <-s.lost:
+		return
+	case <-ctx.Done():
+		return
+	}
+	s.open()
+	s.p.mu.Lock()
+	defer s.p.mu.Unlock()
+	if s.p.session == s {
+		s.p.unready = ""
+	}
+}
+
+// apply puts a document in force, or keeps it until the session is open.
+func (s *session) apply(doc *tiller.Document) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.newest = doc
+	if s.isOpen {
+		s.putInForce()
+	}
+}
+
+func (s *session) open() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isOpen = true
+	s.putInForce()
+}
+
+// putInForce is called with the lock held, so that a lower revision cannot overtake a higher one.
+func (s *session) putInForce() {
+	if s.newest == nil {
+		return
+	}
+	if err := s.p.cfg.Apply(s.newest); err != nil {
+		s.p.cfg.Log.Error(err, "document not put in force", "Revision", s.newest.Revision)
+	}
+}
+
+// receive handles a message from the daemon of the seat from.
+func (s *session) receive(from int, m distributor.Message) {
+	s.note(from)
+	s.syncer.Receive(from, m)
+	if revision, _ := s.syncer.State(); tellsAtMost(m, revision) {
+		s.hear(from)
+	}
+	if _, incarnation, ok := s.syncer.AddressOf(s.seat.Number); ok && incarnation > s.seat.Incarnation {
+		s.lose("another process has claimed it")
+	}
+}
+
+func (s *session) note(from int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard[from] = true
+}
+
+// tellsAtMost says whether a message tells the revision of its sender and that it is no greater than the given one.
+func tellsAtMost(m distributor.Message, revision int64) bool {
+	switch {
+	case m.Digest != nil:
+		return m.Digest.Revision <= revision
+	case m.Pull != nil:
+		return m.Pull.Revision <= revision
+	case m.Push == nil:
+		return false
+	case m.Push.Document != nil:
+		return m.Push.Document.Revision <= revision
+	}
+	n := len(m.Push.Patches)
+	return n > 0 && m.Push.Patches[n-1].To <= revision
+}
+
+// hear notes that a seat has no revision that is to be waited for.
+func (s *session) hear(from int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.unheard[from] {
+		return
+	}
+	delete(s.unheard, from)
+	if len(s.unheard) == 0 {
+		close(s.allHeard)
+	}
+}
+
+// lose ends the session.
+func (s *session) lose(reason string) {
+	s.loseOnce.Do(func() {
+		s.p.cfg.Log.Info("seat lost", "Seat", s.seat.Number, "Reason", reason)
+		close(s.lost)
+	})
+}
--- a/server/operator.go
+++ b/server/operator.go
@@ -19,6 +19,7 @@
 	Explain     func(context.Context, tiller.RequestID) (*operator.Explanation, error)
 	GetDocument func(ctx context.Context, env string) (*operator.StoredDocument, error)
 	PutDocument func(ctx context.Context, env string, change *operator.Change) (*operator.Accepted, error)
+	History     func(ctx context.Context, env string) (*operator.History, error)
 	// Ready returns why the daemon takes no new work; empty when it does.
 	Ready    func() string
 	Stopping func() bool
@@ -119,6 +120,15 @@
 	return accepted, nil
 }
 
+// History returns the newest accepted changes of the document of an environment.
+func (h *operatorHandler) History(ctx context.Context, p operator.HistoryParams) (operator.HistoryRes, error) {
+	history, err := h.cfg.History(ctx, string(p.Env))
+	if err != nil {
+		return encodeOperatorError(err), nil
+	}
+	return history, nil
+}
+
 // toOperatorError returns err as it stands in an answer; one of an unknown type says nothing about what took effect.
 func toOperatorError(err error) *OperatorError {
 	var known *OperatorError
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -145,7 +145,7 @@
 	if revision := s.table.Revision(); revision > s.applied {
 		s.applied = revision
 		s.cfg.Apply(s.table.Document())
-		s.cfg.Log.Info("document in force", "Revision", revision)
+		s.cfg.Log.Info("document learnt", "Revision", revision)
 	}
 	s.mu.Unlock()
 	s.send(out)
@@ -183,9 +183,7 @@
 
 // AddressOf returns the address and the incarnation of the daemon at a seat, if they are known.
 func (s *Syncer) AddressOf(seat int) (a SeatAddress, incarnation int64, ok bool) {
-	s.mu.Lock()
-	f, ok := s.table.Fact(seatKey(seat))
-	s.mu.Unlock()
+	f, ok := s.SeatFact(seat)
 	if !ok {
 		return SeatAddress{}, 0, false
 	}
@@ -195,6 +193,13 @@
 	return a, f.Version, true
 }
 
+// SeatFact returns the fact that tells the address of a seat, if it is known.
+func (s *Syncer) SeatFact(seat int) (distributor.Fact, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Fact(seatKey(seat))
+}
+
 func seatKey(seat int) string {
 	return fmt.Sprintf("seat/%d", seat)
 }
