--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -1,6 +1,9 @@
 package reducer
 
-import tiller "github.com/carawaytiller/carawaytiller"
+import (
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/tracker"
+)
 
 // Effect is something that the runner is to carry out.
 type Effect interface{ effect() }
@@ -65,6 +68,23 @@
 	Message LeasePayload
 }
 
+// TellWarmth sends to a seat what is known of the cold start of upstreams, or asks for it.
+type TellWarmth struct {
+	To     int
+	Warmth Warmth
+}
+
+// Warmth is a message between the owners of two units of one service.
+type Warmth struct {
+	// Unit is the sender's.
+	Unit tracker.UnitID
+	// Warm and Cold name upstreams of which the sender's unit has the cold allowance.
+	Warm []string
+	Cold []string
+	// Ask says that the sender wants to know which upstreams are warm.
+	Ask bool
+}
+
 // Wake asks for a TimeAdvanced event at a time. A later Wake replaces an earlier one.
 type Wake struct{ Time tiller.Millis }
 
@@ -75,6 +95,20 @@
 	N     int64
 }
 
+// Announce makes a fact known to all daemons. Of two facts with one key, the one with the greater version counts.
+type Announce struct {
+	Key     string
+	Version int64
+	Value   []byte
+}
+
+// FinishMove asks for the final state of a rollout to be written to the stored document.
+type FinishMove struct {
+	Move   string
+	State  tiller.MoveState
+	Detail string
+}
+
 // Stopped says that nothing accepted is left and the daemon may end.
 type Stopped struct{}
 
@@ -85,6 +119,9 @@
 func (Forward) effect()       {}
 func (CancelForward) effect() {}
 func (SendLease) effect()     {}
+func (TellWarmth) effect()    {}
 func (Wake) effect()          {}
 func (Count) effect()         {}
+func (Announce) effect()      {}
+func (FinishMove) effect()    {}
 func (Stopped) effect()       {}
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -121,6 +121,22 @@
 	Message LeasePayload
 }
 
+// FactLearned carries a fact that another daemon has announced.
+type FactLearned struct {
+	Stamp
+	Key     string
+	Version int64
+	Value   []byte
+}
+
+// WarmthTold carries what the owner of another unit of the same service knows of upstreams
+// of which that unit has the cold allowance.
+type WarmthTold struct {
+	Stamp
+	From   int
+	Warmth Warmth
+}
+
 // StopRequested says that this daemon is to stop as planned: it finishes what it accepted.
 type StopRequested struct{ Stamp }
 
--- a/reducer/inspector_test.go
+++ b/reducer/inspector_test.go
@@ -21,9 +21,10 @@
 	inFlight map[string]int
 	attempts map[tiller.AttemptID]*sent
 	asked    map[uint64]*asked
-	byID     map[tiller.RequestID][]*sent
-	tokens   map[string]int
-	outcomes map[string]tiller.Result
+	// bySubject holds the attempts by the token of their request, or by its identifier without one.
+	bySubject map[string][]*sent
+	subjects  map[tiller.RequestID]string
+	outcomes  map[string]tiller.Result
 }
 
 // sent is an attempt that the reducer sent.
@@ -39,14 +40,14 @@
 type asked struct {
 	event   reducer.QueryArrived
 	replied bool
-	order   int
+	at      int
 }
 
 func newInspector() *inspector {
 	return &inspector{
 		draining: map[string]bool{}, cold: map[string]bool{}, inFlight: map[string]int{},
 		attempts: map[tiller.AttemptID]*sent{}, asked: map[uint64]*asked{},
-		byID: map[tiller.RequestID][]*sent{}, tokens: map[string]int{}, outcomes: map[string]tiller.Result{},
+		bySubject: map[string][]*sent{}, subjects: map[tiller.RequestID]string{}, outcomes: map[string]tiller.Result{},
 	}
 }
 
@@ -71,20 +72,28 @@
 func (in *inspector) seeEvent(s *sim, e reducer.Event) {
 	switch e := e.(type) {
 	case reducer.QueryArrived:
-		in.asked[e.Ref] = &asked{event: e, order: s.steps}
+		in.asked[e.Ref] = &asked{event: e, at: s.steps}
+		subject := e.Query.Token
+		if e.Query.Repeatable || subject == "" {
+			subject = string(e.Query.ID)
+		}
+		in.subjects[e.Query.ID] = subject
 	case reducer.ResponseArrived:
 		a := in.attempts[e.Attempt]
 		if a != nil && a.effect.Request.ID == e.Response.ID && a.effect.Request.Snapshot == e.Response.Snapshot && e.Response.Attempt == e.Attempt {
+			if !a.ended {
+				in.cold[a.effect.Upstream] = e.Response.Cold
+			}
 			in.end(e.Attempt, tiller.Ran, &e.Response, s.steps)
-			in.cold[a.effect.Upstream] = e.Response.Cold
 		} else {
 			in.end(e.Attempt, tiller.MayHaveRun, nil, s.steps)
 		}
 	case reducer.AttemptFailed:
-		in.end(e.Attempt, e.Verdict, nil, s.steps)
-		if a := in.attempts[e.Attempt]; a != nil && e.Reason == tiller.ReasonDraining {
+		// Nothing is expected from an attempt that was cancelled, so that its end tells nothing.
+		if a := in.attempts[e.Attempt]; a != nil && !a.ended && e.Reason == tiller.ReasonDraining {
 			in.draining[a.effect.Upstream] = true
 		}
+		in.end(e.Attempt, e.Verdict, nil, s.steps)
 	case reducer.UpstreamRestarted:
 		in.cold[e.Upstream] = true
 		in.draining[e.Upstream] = false
@@ -145,7 +154,8 @@
 	}
 	a := &sent{effect: e}
 	in.attempts[e.Request.Attempt] = a
-	in.byID[e.Request.ID] = append(in.byID[e.Request.ID], a)
+	subject := in.subjects[e.Request.ID]
+	in.bySubject[subject] = append(in.bySubject[subject], a)
 }
 
 func (in *inspector) seeReply(e reducer.Reply) {
@@ -164,17 +174,22 @@
 	if e.Result.Refusal != nil {
 		in.checkVerdict(q, *e.Result.Refusal)
 	} else {
-		in.checkAnswer(*e.Result.Answer)
+		in.checkAnswer(q, *e.Result.Answer)
 	}
 	in.checkOutcome(q, e.Result)
 }
 
-// checkVerdict checks that nothing has run of a request refused with NotRun.
+// checkVerdict checks that nothing has run of a request refused with NotRun, and for
+// a single-use request that nothing ever has.
 func (in *inspector) checkVerdict(q *asked, r tiller.Refusal) {
 	if r.Verdict != tiller.NotRun {
 		return
 	}
-	for _, a := range in.byID[r.ID] {
+	for _, a := range in.bySubject[in.subjects[q.event.Query.ID]] {
+		if q.event.Query.Token == "" && a.ended && a.at < q.at {
+			// It belongs to an earlier query under the same identifier.
+			continue
+		}
 		if !a.ended || a.verdict != tiller.NotRun {
 			in.fault("verdict: %s is refused NotRun but may have run", r.ID)
 			return
@@ -183,10 +198,10 @@
 }
 
 // checkAnswer compares an answer with the responses delivered for its snapshot.
-func (in *inspector) checkAnswer(answer tiller.Answer) {
+func (in *inspector) checkAnswer(q *asked, answer tiller.Answer) {
 	first := map[string]*sent{}
-	for _, a := range in.byID[answer.ID] {
-		if a.response == nil || a.effect.Request.Snapshot != answer.Snapshot {
+	for _, a := range in.bySubject[in.subjects[answer.ID]] {
+		if a.response == nil || q.event.Query.Token == "" && a.at < q.at || a.effect.Request.Snapshot != answer.Snapshot {
 			continue
 		}
 		for _, sh := range a.response.Shards {
@@ -240,17 +255,12 @@
 	runs := map[string]int{}
 	for _, u := range s.upstreams {
 		for id, n := range u.runs {
-			for _, q := range in.asked {
-				if q.event.Query.ID == id && q.event.Query.Token != "" {
-					runs[q.event.Query.Token] += n
-					break
-				}
-			}
+			runs[in.subjects[id]] += n
 		}
 	}
-	for token, n := range runs {
-		if n > 1 {
-			in.fault("token: %s ran %d times", token, n)
+	for _, q := range in.asked {
+		if n := runs[q.event.Query.Token]; q.event.Query.Token != "" && n > 1 {
+			in.fault("token: %s ran %d times", q.event.Query.Token, n)
 		}
 	}
 }
--- a/reducer/member.go
+++ b/reducer/member.go
@@ -28,11 +28,15 @@
 	unit     *unit
 	upstream *upstream
 	// gone says that the unit no longer uses the upstream.
-	gone  bool
-	limit limiter.Limit
+	gone bool
+	// barred says that a rollout gives the upstream's version no new attempts.
+	barred bool
+	limit  limiter.Limit
 	// open and roomy are as the unit's counts have them.
 	open  bool
 	roomy bool
+	// warm is as the owners of the other units were told.
+	warm bool
 
 	paused bool
 	pauses int
@@ -57,7 +61,7 @@
 }
 
 // isOpen says whether the unit may send new attempts to the upstream.
-func (m *member) isOpen() bool { return !m.gone && m.upstream.isOpen() }
+func (m *member) isOpen() bool { return !m.gone && !m.barred && m.upstream.isOpen() }
 
 // isSlow says whether other upstreams are preferred because this one has stopped responding.
 func (m *member) isSlow() bool { return m.strikes >= slowStrikes }
@@ -80,6 +84,10 @@
 		s.touch(m.unit)
 	}
 	m.open, m.roomy = open, roomy
+	if warm := !m.limit.Cold(); warm != m.warm {
+		m.warm = warm
+		s.warmthChanged(m)
+	}
 }
 
 func change(before, after bool) int {
--- a/reducer/response.go
+++ b/reducer/response.go
@@ -24,6 +24,7 @@
 	q := a.query
 	q.mayHaveRun = true
 	s.measureResponse(e.Attempt, a)
+	a.member.upstream.forgive(q.digest)
 	s.noteResponse(a.member.upstream, e.Response)
 	s.record(q, recorder.Decision{What: recorder.Responded, Upstream: a.member.upstream.spec.Name, Attempt: e.Attempt, Count: len(a.shards)})
 	s.take(e.Attempt, a, e.Response)
@@ -68,6 +69,7 @@
 	took := s.now - a.sentAt
 	normal := !latency.Known(s.now) || took <= normalFactor*latency.High(s.now)
 	latency.Record(s.now, took)
+	s.sample(a, took, false)
 	a.member.responded()
 	a.member.limit = a.member.limit.WithCompleted(normal)
 	s.end(id, a)
--- a/reducer/step.go
+++ b/reducer/step.go
@@ -68,6 +68,12 @@
 	case LeaseMessage:
 		s.seed(e.Stamp)
 		s.onLeaseMessage(e)
+	case FactLearned:
+		s.seed(e.Stamp)
+		s.onFact(e)
+	case WarmthTold:
+		s.seed(e.Stamp)
+		s.onWarmth(e)
 	case StopRequested:
 		s.seed(e.Stamp)
 		s.stopping = true
@@ -76,7 +82,7 @@
 	}
 }
 
-func (s *State) seed(stamp Stamp) { s.random = stamp.Random }
+func (s *State) seed(stamp Stamp) { s.random.Seed(stamp.Random, 0) }
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
--- a/reducer/upstream.go
+++ b/reducer/upstream.go
@@ -6,6 +6,8 @@
 	// drainHoldMillis is the time after an upstream's last sign of draining during which
 	// a load report that says otherwise is taken to be stale.
 	drainHoldMillis = 30 * tiller.Second
+	// drainMemoryMillis is the time for which a draining upstream is remembered that the document does not list.
+	drainMemoryMillis = 10 * tiller.Minute
 	// lossMemoryMillis is the time during which a lost connection is matched with later signs of a restart.
 	lossMemoryMillis = 5 * tiller.Second
 	// lossMemory bounds the number of digests kept for that.
@@ -22,6 +24,9 @@
 	draining    bool
 	drainingAt  tiller.Millis
 	incarnation int64
+	// restartedAt is the time of the last sign of a restart; it counts when hasRestarted is set.
+	restartedAt  tiller.Millis
+	hasRestarted bool
 	// lostAt is the time of the last loss that was attributed to digests; -1 when there was none.
 	lostAt tiller.Millis
 	// lost are the digests of attempts that ended with a lost connection and were not attributed yet.
@@ -42,27 +47,34 @@
 
 // onRestarted takes a refused or reset connection as a sign that the upstream is cold.
 func (s *State) onRestarted(e UpstreamRestarted) {
-	u, ok := s.upstreams[e.Upstream]
+	u, ok := s.listed(e.Upstream)
 	if !ok {
 		return
 	}
+	u.draining = false
 	s.restart(u, e.Lost)
 }
 
 // restart returns the limits of an upstream to the cold allowance.
 func (s *State) restart(u *upstream, lost bool) {
 	s.count(CountRestart, "", 1)
-	u.draining = false
 	if lost || len(u.lost) > 0 {
 		s.lose(u, lost)
 	}
+	s.chill(u)
+}
+
+// chill returns the limits of every unit on an upstream to what it may get when cold.
+func (s *State) chill(u *upstream) {
+	u.restartedAt, u.hasRestarted = s.now, true
 	for _, m := range u.members {
 		m.limit = m.limit.WithRestart()
 		s.refresh(m)
 	}
 }
 
-// noteResponse takes the signs of a restart from a response.
+// noteResponse takes the signs of a restart from a response. They do not end a drain, because the request
+// was sent before the upstream said that it is draining.
 func (s *State) noteResponse(u *upstream, r tiller.SearchResponse) {
 	restarted := u.incarnation != 0 && r.Incarnation > u.incarnation
 	u.incarnation = max(u.incarnation, r.Incarnation)
@@ -76,15 +88,12 @@
 	if len(u.lost) > 0 {
 		s.lose(u, false)
 	}
-	for _, m := range u.members {
-		m.limit = m.limit.WithRestart()
-		s.refresh(m)
-	}
+	s.chill(u)
 }
 
 // onLoad takes a load report, which can only lower what an upstream gets.
 func (s *State) onLoad(e LoadReported) {
-	u, ok := s.upstreams[e.Upstream]
+	u, ok := s.listed(e.Upstream)
 	if !ok {
 		return
 	}
