--- a/keeper/seat.go
+++ b/keeper/seat.go
@@ -169,22 +169,6 @@
 	return err
 }
 
-// Holder returns the daemon that holds a seat, and whether there is one.
-func (k *Keeper) Holder(ctx context.Context, number int) (Claimant, bool, error) {
-	e, err := k.cfg.Platform.Get(ctx, k.holderKey(number))
-	if errors.Is(err, ErrNotFound) {
-		return Claimant{}, false, nil
-	}
-	if err != nil {
-		return Claimant{}, false, err
-	}
-	var h holder
-	if err := json.Unmarshal([]byte(e.Value), &h); err != nil {
-		return Claimant{}, false, errors.Wrap(err, "decode holder")
-	}
-	return h.Claimant, !h.Released, nil
-}
-
 // liveVMs returns the names of the VMs on the platform's list. The list lags,
 // so a VM that it no longer has is gone, and one that it has may be gone too.
 func (k *Keeper) liveVMs(ctx context.Context) (map[string]bool, error) {
