Let joiner take document and seat from provisioner

joiner had its own way to claim a seat and to accept changes. It ended the process when the seat was lost, never noticed a seat that another process had claimed, put the text of a repeated operation in force whatever it was, had two daemons that start at the same time look for each other only at one of them, and served before it knew the revisions of its peers. provisioner does all of that; its restart of the platform's addresses takes the place of ConnectStore, whose example is now that of provisioner.New.

The daemon looks at the end of its seat on each vote and each use of a lease, so that a paused process does not vote under a seat that another one has claimed. It goes on without a seat, and claims one again, where it ended before.

--- a/assembler/config.go
+++ b/assembler/config.go
@@ -25,9 +25,12 @@
 	// KnowledgeAge returns the time since the revision in force was last confirmed, -1 when it never was;
 	// nil means since it was applied.
 	KnowledgeAge func() tiller.Millis
-	// GetDocument and PutDocument reach the stored document; nil when there is no store.
+	// Unready returns a further reason why the daemon takes no new work, empty when there is none; nil means none.
+	Unready func() string
+	// GetDocument, PutDocument and History reach the stored document; nil when there is no store.
 	GetDocument func(ctx context.Context, env string) (*operator.StoredDocument, error)
 	PutDocument func(ctx context.Context, env string, change *operator.Change) (*operator.Accepted, error)
+	History     func(ctx context.Context, env string) (*operator.History, error)
 }
 
 // Peers is how a daemon reaches the others. Forward and SendLease are required.
@@ -57,5 +60,8 @@
 			return nil, errNoStore
 		}
 	}
+	if c.History == nil {
+		c.History = func(context.Context, string) (*operator.History, error) { return nil, errNoStore }
+	}
 	return c
 }
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -17,6 +17,9 @@
 	"github.com/carawaytiller/carawaytiller/tracker"
 )
 
+// noSeat stands for the seat of a daemon that has none.
+const noSeat = -1
+
 // Daemon is one running daemon.
 type Daemon struct {
 	cfg     Config
@@ -68,6 +71,24 @@
 	d.hasSeat.Store(true)
 }
 
+// ExtendSeat moves the time from which this process must no longer act under its seat, which has no end at first.
+// It returns false when that time has passed and the daemon has given up the seat.
+func (d *Daemon) ExtendSeat(until tiller.Millis) bool {
+	held := d.leases == nil
+	if d.leases == nil {
+		return held
+	}
+	// A runner that has ended acts under no seat.
+	_ = d.runner.View(func() { held = d.leases.extend(d.cfg.Clock.Now(), until) })
+	return held
+}
+
+// LeaveSeat ends all ownership and voting at once, because the process no longer holds its seat.
+func (d *Daemon) LeaveSeat() {
+	d.hasSeat.Store(false)
+	d.runner.Post(func(s reducer.Stamp) reducer.Event { return reducer.SeatTaken{Stamp: s, Seat: noSeat} })
+}
+
 // listen opens both listeners, or none.
 func (d *Daemon) listen() error {
 	l, err := net.Listen("tcp", d.cfg.CallerAddress)
@@ -128,6 +149,7 @@
 		Explain:     d.explain,
 		GetDocument: d.cfg.GetDocument,
 		PutDocument: d.cfg.PutDocument,
+		History:     d.cfg.History,
 		Ready:       d.unready,
 		Stopping:    d.isStopping.Load,
 	})
@@ -157,6 +179,8 @@
 		return "no seat"
 	case d.appliedAt.Load() == 0:
 		return "no document"
+	case d.cfg.Unready != nil:
+		return d.cfg.Unready()
 	}
 	return ""
 }
@@ -195,13 +219,6 @@
 	})
 }
 
-// Resign ends all ownership and voting at once, because the process no longer holds its seat.
-func (d *Daemon) Resign() {
-	d.hasSeat.Store(false)
-	// A runner that has ended owns nothing any more.
-	_ = d.runner.View(d.leases.resign)
-}
-
 // LearnFact hands over a fact that another daemon has announced.
 func (d *Daemon) LearnFact(key string, version int64, value []byte) {
 	d.runner.Post(func(s reducer.Stamp) reducer.Event {
--- a/cmd/tillerd/run.go
+++ b/cmd/tillerd/run.go
@@ -86,35 +86,27 @@
 	if err != nil {
 		return err
 	}
-	platform, err := joiner.ConnectStore(s.PlatformAddresses)
-	if err != nil {
-		return err
-	}
 	m, err := joiner.Start(joiner.Config{
-		Clock:           tiller.SystemClock(),
-		Logger:          log,
-		Name:            s.Name,
-		Domain:          s.Domain,
-		Environment:     s.Environment,
-		CallerAddress:   s.CallerAddress,
-		OperatorAddress: s.OperatorAddress,
-		PeerAddress:     s.PeerAddress,
-		Platform:        platform,
-		Keys:            keys,
-		DrainMillis:     drainMillis(s),
+		Clock:             tiller.SystemClock(),
+		Logger:            log,
+		Name:              s.Name,
+		Domain:            s.Domain,
+		Environment:       s.Environment,
+		CallerAddress:     s.CallerAddress,
+		OperatorAddress:   s.OperatorAddress,
+		PeerAddress:       s.PeerAddress,
+		PlatformAddresses: s.PlatformAddresses,
+		Keys:              keys,
+		DrainMillis:       drainMillis(s),
 	})
 	if err != nil {
 		return err
 	}
 	logServing(log, m.Daemon())
-	var lost error
-	select {
-	case <-c.program.ctx.Done():
-	case lost = <-m.Lost():
-	}
+	<-c.program.ctx.Done()
 	ctx, cancel := context.WithTimeout(context.Background(), s.StopMillis.Duration())
 	defer cancel()
-	return errors.Join(lost, m.Stop(ctx))
+	return m.Stop(ctx)
 }
 
 // runAlone runs a daemon without peers.
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -69,8 +69,8 @@
 	Members []*joiner.Member
 
 	authority *issuer.Authority
-	platform  keeper.Platform
-	transport *http.Transport
+	// address is that of the platform.
+	address string
 }
 
 // Start starts a fleet with as many daemons as the document has seats and waits until they are ready.
@@ -85,25 +85,21 @@
 		return nil, err
 	}
 	f := &Fleet{
-		cfg:       cfg,
-		Fakes:     fakes,
-		Document:  &doc,
-		Members:   make([]*joiner.Member, doc.Seats),
-		transport: &http.Transport{},
+		cfg:      cfg,
+		Fakes:    fakes,
+		Document: &doc,
+		Members:  make([]*joiner.Member, doc.Seats),
+		address:  address,
 	}
-	if err := f.start(address); err != nil {
+	if err := f.start(); err != nil {
 		f.Close()
 		return nil, err
 	}
 	return f, nil
 }
 
-func (f *Fleet) start(address string) error {
+func (f *Fleet) start() error {
 	var err error
-	f.platform, err = keeper.Connect(address, &http.Client{Transport: f.transport})
-	if err != nil {
-		return err
-	}
 	f.authority, err = issuer.NewAuthority("demonstration", time.Now(), keyMillis.Duration())
 	if err != nil {
 		return err
@@ -134,8 +130,14 @@
 	if err != nil {
 		return err
 	}
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	platform, err := keeper.Connect(f.address, client)
+	if err != nil {
+		return err
+	}
 	k := keeper.New(keeper.Config{
-		Platform:    f.platform,
+		Platform:    platform,
 		Environment: f.Document.Environment,
 		Clock:       f.cfg.Clock,
 		Sleep:       func(ctx context.Context, _ tiller.Millis) error { return ctx.Err() },
@@ -171,18 +173,18 @@
 		return err
 	}
 	f.Members[vm], err = joiner.Start(joiner.Config{
-		Clock:           f.cfg.Clock,
-		Logger:          f.cfg.Logger.WithValues("VM", vmName(vm)),
-		Name:            vmName(vm),
-		Domain:          f.domainOf(vm),
-		Environment:     f.Document.Environment,
-		CallerAddress:   loopback,
-		OperatorAddress: loopback,
-		PeerAddress:     loopback,
-		Platform:        f.platform,
-		Keys:            keys,
-		DrainMillis:     f.cfg.DrainMillis,
-		SpreadMillis:    f.cfg.SpreadMillis,
+		Clock:             f.cfg.Clock,
+		Logger:            f.cfg.Logger.WithValues("VM", vmName(vm)),
+		Name:              vmName(vm),
+		Domain:            f.domainOf(vm),
+		Environment:       f.Document.Environment,
+		CallerAddress:     loopback,
+		OperatorAddress:   loopback,
+		PeerAddress:       loopback,
+		PlatformAddresses: []string{f.address},
+		Keys:              keys,
+		DrainMillis:       f.cfg.DrainMillis,
+		SpreadMillis:      f.cfg.SpreadMillis,
 	})
 	return err
 }
@@ -240,6 +242,5 @@
 			m.Close()
 		}
 	}
-	f.transport.CloseIdleConnections()
 	f.Fakes.Close()
 }
--- a/joiner/config.go
+++ b/joiner/config.go
@@ -4,7 +4,6 @@
 	"github.com/go-logr/logr"
 
 	tiller "github.com/carawaytiller/carawaytiller"
-	"github.com/carawaytiller/carawaytiller/keeper"
 	"github.com/carawaytiller/carawaytiller/messenger"
 )
 
@@ -21,8 +20,9 @@
 	CallerAddress   string
 	OperatorAddress string
 	PeerAddress     string
-	Platform        keeper.Platform
-	Keys            *messenger.Keys
+	// PlatformAddresses are the addresses of the platform.
+	PlatformAddresses []string
+	Keys              *messenger.Keys
 	// DrainMillis is the part of a planned stop for which the daemon still takes new work.
 	DrainMillis tiller.Millis
 	// SpreadMillis is the time within which a document is in force everywhere; 0 means the bound of the target size.
--- a/joiner/move.go
+++ b/joiner/move.go
@@ -3,18 +3,26 @@
 import (
 	crand "crypto/rand"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/tailscale/hujson"
 
 	tiller "github.com/carawaytiller/carawaytiller"
-	"github.com/carawaytiller/carawaytiller/keeper"
+	"github.com/carawaytiller/carawaytiller/api/operator"
+	"github.com/carawaytiller/carawaytiller/decoder"
 	"github.com/carawaytiller/carawaytiller/reducer"
 )
 
-// daemonOperator is the operator of changes that daemons make themselves.
-const daemonOperator = "carawaytiller"
+const (
+	// daemonOperator is the operator of changes that daemons make themselves.
+	daemonOperator = "carawaytiller"
+	// finishAgainMillis bounds the wait before another try to write a final state.
+	finishAgainMillis = tiller.Second
+)
 
 // finishMove writes the final state of a rollout on a goroutine of its own, until it is known to be there.
 func (m *Member) finishMove(e reducer.FinishMove) {
@@ -25,7 +33,7 @@
 				return
 			}
 			m.cfg.Logger.Error(err, "final state not written", "Move", e.Move, "State", e.State)
-			if m.pause(joinAgainMillis) != nil {
+			if m.pause() != nil {
 				return
 			}
 		}
@@ -34,31 +42,49 @@
 
 // tryFinishMove writes the final state once. It is done, too, when the move has a final state or is gone.
 func (m *Member) tryFinishMove(e reducer.FinishMove) (bool, error) {
-	record, _, err := m.keeper.Read(m.ctx, m.cfg.Environment)
+	stored, err := m.provisioner.GetDocument(m.ctx, m.cfg.Environment)
 	if err != nil {
 		return false, err
 	}
-	text, isOpen, err := withMoveState(record.Text, e.Move, e.State)
+	text, isOpen, err := withMoveState(stored.Text, e.Move, e.State)
 	if err != nil || !isOpen {
 		return err == nil, err
 	}
-	revision, err := m.keeper.Accept(m.ctx, keeper.Change{
-		Environment: m.cfg.Environment,
-		Operation:   "finish-" + crand.Text(),
-		Operator:    daemonOperator,
-		Expected:    record.Revision,
-		Text:        text,
+	accepted, err := m.provisioner.PutDocument(m.ctx, m.cfg.Environment, &operator.Change{
+		Operation:        "finish-" + crand.Text(),
+		Operator:         daemonOperator,
+		ExpectedRevision: stored.Revision,
+		Text:             text,
 	})
 	if err != nil {
 		return false, err
 	}
-	m.cfg.Logger.Info("rollout finished", "Move", e.Move, "State", e.State, "Detail", e.Detail, "Revision", revision)
-	if s := m.syncer.Load(); s != nil {
-		s.LearnRecord(keeper.Record{Revision: revision, Text: text})
-	}
+	m.cfg.Logger.Info("rollout finished", "Move", e.Move, "State", e.State, "Detail", e.Detail, "Revision", accepted.Revision)
 	return true, nil
 }
 
+// pause waits before another try, or until the member ends. Half of the wait is random.
+func (m *Member) pause() error {
+	half := finishAgainMillis / 2
+	timer := time.NewTimer((half + tiller.Millis(rand.Int64N(int64(half)))).Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-m.ctx.Done():
+		return m.ctx.Err()
+	}
+}
+
+// decodeDocument parses and checks the text of a document.
+func decodeDocument(text string) (*tiller.Document, error) {
+	doc, faults := decoder.DecodeDocument("", []byte(text))
+	if len(faults) > 0 {
+		return nil, errors.New(faults.String())
+	}
+	return doc, nil
+}
+
 // withMoveState returns text with the final state of a move and every comment, and whether the move was open.
 func withMoveState(text, move string, state tiller.MoveState) (string, bool, error) {
 	doc, err := decodeDocument(text)
--- a/joiner/peer.go
+++ b/joiner/peer.go
@@ -37,9 +37,7 @@
 // it waits for the daemon to apply a document. The order does not matter: the greater version counts.
 func (m *Member) announce(e reducer.Announce) {
 	m.tasks.Go(func() {
-		if s := m.syncer.Load(); s != nil {
-			s.Announce(distributor.Fact{Key: e.Key, Version: e.Version, Value: e.Value})
-		}
+		m.provisioner.Announce(distributor.Fact{Key: e.Key, Version: e.Version, Value: e.Value})
 	})
 }
 
@@ -49,7 +47,7 @@
 		Keys:      m.cfg.Keys,
 		Clock:     m.cfg.Clock,
 		Seat:      m.Seat,
-		AddressOf: m.addressOf,
+		AddressOf: m.provisioner.AddressOf,
 		OnForward: func(ctx context.Context, from int, f messenger.Forward) tiller.Result {
 			return m.daemon.Submit(ctx, f.Query, from, f.Redirects)
 		},
@@ -60,19 +58,6 @@
 	}
 }
 
-// addressOf returns the address of the daemon at a seat: as the fleet's facts say, else as the store said.
-func (m *Member) addressOf(seat int) (string, bool) {
-	if s := m.syncer.Load(); s != nil {
-		if a, _, ok := s.AddressOf(seat); ok {
-			return a.Address, true
-		}
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	address, ok := m.bootstrap[seat]
-	return address, ok
-}
-
 // sendConfiguration sends a message of package distributor; a lost one does no harm.
 func (m *Member) sendConfiguration(to int, message distributor.Message) {
 	value, err := cbor.Marshal(message)
@@ -84,8 +69,7 @@
 }
 
 func (m *Member) receivePush(from int, p messenger.RevisionPush) {
-	s := m.syncer.Load()
-	if s == nil || p.Name != configurationName {
+	if p.Name != configurationName {
 		return
 	}
 	var message distributor.Message
@@ -93,5 +77,5 @@
 		m.daemon.Metrics().Count("configuration_undecodable", "", 1)
 		return
 	}
-	s.Receive(from, message)
+	m.provisioner.Receive(from, message)
 }
--- /dev/null
+++ b/joiner/provision.go
@@ -0,0 +1,45 @@
+package joiner
+
+import (
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/distributor"
+	"github.com/carawaytiller/carawaytiller/provisioner"
+)
+
+// provisionerConfig joins document and seat with the daemon, at the given address for peers.
+func (m *Member) provisionerConfig(address string) provisioner.Config {
+	return provisioner.Config{
+		VM:                m.cfg.Name,
+		Domain:            m.cfg.Domain,
+		Environment:       m.cfg.Environment,
+		Address:           address,
+		PlatformAddresses: m.cfg.PlatformAddresses,
+		Clock:             m.cfg.Clock,
+		Log:               m.cfg.Logger,
+		Send:              m.sendConfiguration,
+		Apply:             func(doc *tiller.Document) error { return m.daemon.Apply(doc) },
+		Learned:           func(f distributor.Fact) { m.daemon.LearnFact(f.Key, f.Version, f.Value) },
+		Hold:              m.hold,
+		Extend:            func(until tiller.Millis) bool { return m.daemon.ExtendSeat(until) },
+		Leave:             m.leave,
+	}
+}
+
+// hold makes the daemon act under a seat.
+func (m *Member) hold(h provisioner.Holding) {
+	m.seat.Store(int64(h.Seat))
+	m.daemon.TakeSeat(h.Seat, h.Incarnation)
+	m.daemon.ExtendSeat(h.Until)
+}
+
+// leave makes the daemon act under no seat.
+func (m *Member) leave() {
+	m.daemon.LeaveSeat()
+	m.seat.Store(noSeat)
+}
+
+// knowledgeAge returns the time since the revision in force was last known to be the newest; -1 when it never was.
+func (m *Member) knowledgeAge() tiller.Millis {
+	_, age := m.provisioner.State()
+	return age
+}
--- a/provisioner/directory.go
+++ b/provisioner/directory.go
@@ -7,15 +7,21 @@
 	"slices"
 	"sync"
 
+	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/distributor"
 )
 
-// lookups is the number of seats whose addresses a daemon reads from the store at its start. As many daemons
-// get each change at once, so a new daemon is in touch with the fleet as soon as one of them is there.
-const lookups = distributor.PushPeers
+const (
+	// lookups is the number of seats whose addresses a daemon reads from the store at its start.
+	// One live peer among them is enough.
+	lookups = distributor.PushPeers
+	// firstSeekMillis and longestSeekMillis bound the waits between further reads while no peer has been heard.
+	firstSeekMillis   = 5 * tiller.Second
+	longestSeekMillis = tiller.Minute
+)
 
-// lookUp reads the addresses of some random seats.
-func (s *session) lookUp(ctx context.Context, seats int) {
+// lookUp reads the addresses of some random seats and returns those of the seats that are held.
+func (s *session) lookUp(ctx context.Context, seats int) map[int]string {
 	known := make(map[int]string)
 	var mu sync.Mutex
 	var tasks sync.WaitGroup
@@ -31,28 +37,49 @@
 		})
 	}
 	tasks.Wait()
-	s.know(known)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known = known
+	return maps.Clone(known)
 }
 
-// someSeats returns random seats other than the own one.
-func (s *session) someSeats(seats int) []int {
-	r := rand.New(rand.NewPCG(s.p.cfg.Random(), uint64(s.seat.Number)))
-	others := slices.DeleteFunc(r.Perm(seats), func(seat int) bool { return seat == s.seat.Number })
-	return others[:min(lookups, len(others))]
+// seekPeers reads addresses again and again until a peer has sent something. Daemons that start
+// at the same time may not find each other at first.
+func (s *session) seekPeers(ctx context.Context, seats int) {
+	for try := 0; seats > 1 && !s.hasHeardAny(); try++ {
+		longest := min(firstSeekMillis<<min(try, 4), longestSeekMillis)
+		if sleep(ctx, s.p.cfg.between(longest/2, longest)) != nil {
+			return
+		}
+		if !s.hasHeardAny() {
+			s.lookUp(ctx, seats)
+			s.introduce()
+		}
+	}
 }
 
-func (s *session) know(known map[int]string) {
+// introduce sends the address of the own seat to the seats that were looked up,
+// so that they can reply and pass it on.
+func (s *session) introduce() {
+	own, ok := s.syncer.SeatFact(s.seat.Number)
+	if !ok {
+		return
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.known = known
+	known := maps.Clone(s.known)
+	s.mu.Unlock()
 	for seat := range known {
-		s.unheard[seat] = true
-	}
-	if len(s.unheard) == 0 {
-		close(s.allHeard)
+		s.p.cfg.Send(seat, distributor.Message{Push: &distributor.Push{Facts: []distributor.Fact{own}, Age: -1}})
 	}
 }
 
+// someSeats returns random seats other than the own one.
+func (s *session) someSeats(seats int) []int {
+	r := rand.New(rand.NewPCG(s.p.cfg.Random(), uint64(s.seat.Number)))
+	others := slices.DeleteFunc(r.Perm(seats), func(seat int) bool { return seat == s.seat.Number })
+	return others[:min(lookups, len(others))]
+}
+
 // addressOf returns where the daemon of a seat is reached. What the daemons have told each other
 // is newer than what was read at the start.
 func (s *session) addressOf(seat int) (string, bool) {
@@ -77,6 +104,19 @@
 	s.p.cfg.Send(to, m)
 }
 
+// note notes that a seat has sent something.
+func (s *session) note(from int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard[from] = true
+}
+
+func (s *session) hasHeardAny() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.heard) > 0
+}
+
 func (s *session) hasHeard(seat int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/provisioner/example_test.go
+++ b/provisioner/example_test.go
@@ -13,6 +13,12 @@
 	"github.com/carawaytiller/carawaytiller/server"
 )
 
+func ExampleNew() {
+	_, err := provisioner.New(provisioner.Config{VM: "vm-1"})
+	fmt.Println(err)
+	// Output: no address of the platform
+}
+
 func ExampleProvisioner_PutDocument() {
 	p, err := provisioner.New(provisioner.Config{
 		VM: "vm-1", Domain: "Burnaby", Environment: "trial", Address: "127.0.0.1:7002",
--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -186,11 +186,10 @@
 	}
 }
 
-// SeatEnded tells that the time for which a seat is held is over, as the user of the seat has noticed.
-func (p *Provisioner) SeatEnded(seat int, incarnation int64) {
-	s := p.current()
-	if s != nil && s.seat.Number == seat && s.seat.Incarnation == incarnation {
-		s.lose("its time is over")
+// Announce makes a fact known to all daemons. Without a seat it does nothing.
+func (p *Provisioner) Announce(f distributor.Fact) {
+	if s := p.current(); s != nil {
+		s.syncer.Announce(f)
 	}
 }
 
--- a/provisioner/provisioner_test.go
+++ b/provisioner/provisioner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -253,6 +254,34 @@
 	})
 }
 
+// TestPeersAreSought guards against daemons that start at the same time and never find each other:
+// here none finds the address of another at first, because the store returns old records.
+func TestPeersAreSought(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		record, err := json.Marshal(keeper.Record{Revision: 1, Text: text(3, "")})
+		require.NoError(t, err)
+		for range 2 {
+			w.platform.Store.Set("/carawaytiller/trial/document", string(record))
+		}
+		w.platform.Store.SetFaults(faker.StoreFaults{StaleReads: true})
+		daemons := []*daemon{w.start(0), w.start(1), w.start(2)}
+		time.Sleep(3 * time.Second)
+		for _, d := range daemons {
+			require.Empty(t, d.Unready())
+			_, ok := d.AddressOf((d.holding().Seat + 1) % 3)
+			require.False(t, ok)
+		}
+		w.platform.Store.SetFaults(faker.StoreFaults{})
+		time.Sleep(2 * firstSeekMillis.Duration())
+		for _, d := range daemons {
+			for seat := range 3 {
+				_, ok := d.AddressOf(seat)
+				require.True(t, ok, "seat %d", seat)
+			}
+		}
+	})
+}
+
 // TestStopWhileWaiting guards against a stop that waits for the store.
 func TestStopWhileWaiting(t *testing.T) {
 	run(t, func(t *testing.T, w *world) {
--- a/provisioner/seat.go
+++ b/provisioner/seat.go
@@ -76,11 +76,6 @@
 	if err != nil {
 		return err
 	}
-	if s.p.cfg.Clock.Now() >= s.until {
-		// The users of the seat have stopped by now.
-		s.lose("its time is over")
-		return nil
-	}
 	held, err := s.p.keeper.Holds(ctx, s.p.claimant, renewed)
 	if err != nil {
 		return err
@@ -90,6 +85,8 @@
 		return nil
 	}
 	s.until = heldUntil(renewed)
-	s.p.cfg.Extend(s.until)
+	if !s.p.cfg.Extend(s.until) {
+		s.lose("its time is over")
+	}
 	return nil
 }
--- a/provisioner/session.go
+++ b/provisioner/session.go
@@ -51,10 +51,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	// The addresses of some peers must be known before the first document, which is compared with them.
-	s.lookUp(ctx, c.doc.Seats)
+	s.awaitHearing(s.lookUp(ctx, c.doc.Seats))
 	s.learn(ctx, c.record)
 	group.Go(func() { s.syncer.Run(ctx) })
 	group.Go(func() { s.becomeReady(ctx) })
+	group.Go(func() { s.seekPeers(ctx, c.doc.Seats) })
 	s.keep(ctx)
 	p.end(s, ctx.Err() != nil)
 	cancel()
@@ -66,13 +67,14 @@
 	s := &session{p: p, seat: seat, until: heldUntil(seat), lost: make(chan struct{})}
 	s.heard, s.unheard, s.allHeard = map[int]bool{}, map[int]bool{}, make(chan struct{})
 	s.syncer = syncer.New(syncer.Config{
-		Seat:   seat.Number,
-		Clock:  p.cfg.Clock,
-		Random: p.cfg.Random,
-		Sleep:  sleep,
-		Send:   s.send,
-		Apply:  s.apply,
-		Read:   s.read,
+		Seat:    seat.Number,
+		Clock:   p.cfg.Clock,
+		Random:  p.cfg.Random,
+		Sleep:   sleep,
+		Send:    s.send,
+		Apply:   s.apply,
+		Learned: p.cfg.Learned,
+		Read:    s.read,
 		Watch: func(ctx context.Context, learned func(keeper.Record)) {
 			p.keeper.Watch(ctx, p.cfg.Environment, learned)
 		},
@@ -107,17 +109,11 @@
 }
 
 // learn takes the record of the store as it is after the claim, or else the one that was read before,
-// which makes the syncer compare with peers. The address of the seat is announced before, to the seats that were
-// looked up, so that they can reply and pass it on.
+// which makes the syncer compare with peers.
 func (s *session) learn(ctx context.Context, before keeper.Record) {
 	c := s.p.claimant
-	own := syncer.SeatAddress{Address: c.Address, Domain: c.Domain, VM: c.VM}
-	s.syncer.AnnounceSeat(s.seat.Number, s.seat.Incarnation, own)
-	if f, ok := s.syncer.SeatFact(s.seat.Number); ok {
-		for seat := range s.known {
-			s.p.cfg.Send(seat, distributor.Message{Push: &distributor.Push{Facts: []distributor.Fact{f}, Age: -1}})
-		}
-	}
+	s.syncer.AnnounceSeat(s.seat.Number, s.seat.Incarnation, syncer.SeatAddress{Address: c.Address, Domain: c.Domain, VM: c.VM})
+	s.introduce()
 	if record, err := s.read(ctx); err == nil && record.Revision > before.Revision {
 		before = record
 	}
@@ -185,12 +181,6 @@
 	}
 }
 
-func (s *session) note(from int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.heard[from] = true
-}
-
 // tellsAtMost says whether a message tells the revision of its sender and that it is no greater than the given one.
 func tellsAtMost(m distributor.Message, revision int64) bool {
 	switch {
@@ -207,6 +197,18 @@
 	return n > 0 && m.Push.Patches[n-1].To <= revision
 }
 
+// awaitHearing sets the seats that becomeReady waits for.
+func (s *session) awaitHearing(known map[int]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for seat := range known {
+		s.unheard[seat] = true
+	}
+	if len(s.unheard) == 0 {
+		close(s.allHeard)
+	}
+}
+
 // hear notes that a seat has no revision that is to be waited for.
 func (s *session) hear(from int) {
 	s.mu.Lock()
--- a/provisioner/world_test.go
+++ b/provisioner/world_test.go
@@ -134,7 +134,7 @@
 		Send:              func(to int, m distributor.Message) { w.send(d, to, m) },
 		Apply:             d.apply,
 		Hold:              func(h Holding) { d.hold(h) },
-		Extend:            func(until tiller.Millis) { d.extend(until) },
+		Extend:            d.extend,
 		Leave:             func() { d.hold(Holding{}) },
 	})
 	require.NoError(w.t, err)
@@ -193,10 +193,11 @@
 	d.held = h
 }
 
-func (d *daemon) extend(until tiller.Millis) {
+func (d *daemon) extend(until tiller.Millis) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.held.Until = until
+	return true
 }
 
 func (d *daemon) holding() Holding {
