--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -130,6 +130,9 @@
 	if err != nil {
 		return err
 	}
+	if _, faults := decoder.DecodeDocument("", text); len(faults) > 0 {
+		return fmt.Errorf("document: %s", faults)
+	}
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	platform, err := keeper.Connect(f.address, client)
