--- a/cmd/tillerctl/commander/change.go
+++ b/cmd/tillerctl/commander/change.go
@@ -36,9 +36,6 @@
 
 // submit shows ch and carries it out.
 func (c *Commander) submit(ctx context.Context, daemons []daemon, ch change) error {
-	if ch.options.Attempts < 1 {
-		return badInput(errors.Errorf("%d attempts are less than 1", ch.options.Attempts))
-	}
 	if ch.options.Operation == "" && ch.base.text == ch.next {
 		c.print("%s has this document at revision %d\n", ch.env, ch.base.revision)
 		return nil
@@ -46,15 +43,30 @@
 	if ch.options.Operation == "" {
 		ch.options.Operation = c.NewID()
 	}
-	// A request that breaks the interface gets a reply without a verdict, which would count as unknown.
-	if err := ch.request().Validate(); err != nil {
-		return badInput(errors.Wrap(err, "change"))
+	if err := ch.check(); err != nil {
+		return err
 	}
 	c.showChange(ch)
 	if ch.options.DryRun {
 		return nil
 	}
-	return c.putUntilKnown(ctx, daemons, ch)
+	o, err := c.putUntilKnown(ctx, daemons, ch)
+	if err != nil {
+		return err
+	}
+	return c.conclude(ctx, daemons, ch, o)
+}
+
+// check returns an error for a request that breaks the interface: it would get a reply without
+// a verdict, which would count as unknown.
+func (ch change) check() error {
+	if ch.options.Attempts < 1 {
+		return badInput(errors.Errorf("%d attempts are less than 1", ch.options.Attempts))
+	}
+	if err := ch.request().Validate(); err != nil {
+		return badInput(errors.Wrap(err, "change"))
+	}
+	return nil
 }
 
 // request returns the request for ch.
@@ -78,9 +90,9 @@
 	c.printChanges(decoder.Diff(current, next))
 }
 
-// putUntilKnown sends the change until its outcome is known. Each request has the same operation identifier,
-// so the change takes effect at most once.
-func (c *Commander) putUntilKnown(ctx context.Context, daemons []daemon, ch change) error {
+// putUntilKnown sends the change until its outcome is known, and returns that. Each request has the
+// same operation identifier, so the change takes effect at most once.
+func (c *Commander) putUntilKnown(ctx context.Context, daemons []daemon, ch change) (outcome, error) {
 	sent := false
 	wait := firstWaitMillis * time.Millisecond
 	for attempt := range ch.options.Attempts {
@@ -94,15 +106,15 @@
 		d := daemons[attempt%len(daemons)]
 		o := put(ctx, d, ch)
 		if o.known(sent) {
-			return c.conclude(ctx, daemons, ch, o)
+			return o, nil
 		}
 		sent = sent || o.sent
 		c.note("%s: %v; operation %s", d.address, o.err, ch.options.Operation)
 	}
 	if !sent {
-		return errors.New("no daemon could be reached; the change was not made")
+		return outcome{}, errors.New("no daemon could be reached; the change was not made")
 	}
-	return errors.Errorf("the outcome is unknown; run the command again with --operation %s", ch.options.Operation)
+	return outcome{}, errors.Errorf("the outcome is unknown; run the command again with --operation %s", ch.options.Operation)
 }
 
 // outcome is what one request of a change led to.
@@ -143,6 +155,11 @@
 	return !sentBefore || o.refused.Response.Reason == operator.ErrorReasonConflict
 }
 
+// isConflict says whether another change was accepted first.
+func (o outcome) isConflict() bool {
+	return o.refused != nil && o.refused.Response.Reason == operator.ErrorReasonConflict
+}
+
 // conclude reports a known outcome.
 func (c *Commander) conclude(ctx context.Context, daemons []daemon, ch change, o outcome) error {
 	if o.accepted != nil {
--- a/cmd/tillerctl/commander/commander.go
+++ b/cmd/tillerctl/commander/commander.go
@@ -21,11 +21,13 @@
 	NewID func() string
 	// Sleep waits for a time or until the context ends.
 	Sleep func(ctx context.Context, d time.Duration)
+	// Now returns the present time.
+	Now func() time.Time
 }
 
 // New returns a Commander that reads from in, and writes results to out and messages to errOut.
 func New(in io.Reader, out, errOut io.Writer) *Commander {
-	return &Commander{in: in, out: out, err: errOut, NewID: uuid.NewString, Sleep: sleep}
+	return &Commander{in: in, out: out, err: errOut, NewID: uuid.NewString, Sleep: sleep, Now: time.Now}
 }
 
 // sleep waits for d or until ctx ends.
@@ -62,34 +64,52 @@
 		return exitOK
 	case len(rest) > 0:
 		return c.exit(badInput(errors.Errorf("unexpected argument %s", rest[0])))
-	case parser.Active == nil:
+	}
+	active := parser.Active
+	for active != nil && active.Active != nil {
+		active = active.Active
+	}
+	chosen := commands[active]
+	if chosen == nil {
 		parser.WriteHelp(c.err)
 		return exitBadInput
 	}
-	return c.exit(commands[parser.Active.Name].run(ctx, c))
+	return c.exit(chosen.run(ctx, c))
 }
 
-// newParser returns the parser of the command line and the sub-commands by name.
-func newParser(global *globalOptions) (*flags.Parser, map[string]command) {
+// newParser returns the parser of the command line and the sub-commands that can be run.
+func newParser(global *globalOptions) (*flags.Parser, map[*flags.Command]command) {
 	parser := flags.NewNamedParser("tillerctl", flags.HelpFlag|flags.PassDoubleDash)
 	parser.SubcommandsOptional = true
-	parser.LongDescription = "Checks, compares and applies documents, and asks daemons for status, explanations and answers." +
+	parser.LongDescription = "Checks, compares and applies documents, changes single fields of them," +
+		" and asks daemons for status, history, explanations and answers." +
 		" Times are in milliseconds." +
 		" Exit codes: 0 success, 1 refused or failed, 2 bad input."
 	must(parser.AddGroup("Global Options", "", global))
-	commands := map[string]command{}
-	for _, e := range entries() {
-		must(parser.AddCommand(e.name, e.short, e.long, e.command))
-		commands[e.name] = e.command
-	}
+	commands := map[*flags.Command]command{}
+	addEntries(parser.Command, entries(), commands)
 	return parser, commands
 }
 
+// addEntries adds sub-commands to a command, and those that can be run to commands.
+func addEntries(parent *flags.Command, list []entry, commands map[*flags.Command]command) {
+	for _, e := range list {
+		if e.command != nil {
+			commands[must(parent.AddCommand(e.name, e.short, e.long, e.command))] = e.command
+			continue
+		}
+		group := must(parent.AddCommand(e.name, e.short, e.long, &struct{}{}))
+		group.SubcommandsOptional = true
+		addEntries(group, e.children, commands)
+	}
+}
+
 // must panics on an error, which here means a mistake in the tags of an options struct.
-func must[T any](_ T, err error) {
+func must[T any](value T, err error) T {
 	if err != nil {
 		panic(err)
 	}
+	return value
 }
 
 // version returns the version of the module, as recorded in the binary.
--- a/cmd/tillerctl/commander/commander_test.go
+++ b/cmd/tillerctl/commander/commander_test.go
@@ -18,9 +18,15 @@
 	require.Equal(t, 2, run("", "check", "-", "more").code)
 	require.Equal(t, 2, run("", "check", "--loud", "-").code)
 	require.True(t, strings.HasPrefix(run("", "--version").out, "tillerctl "))
-	for _, name := range []string{"check", "diff", "apply", "promote", "status", "explain", "query"} {
-		require.Contains(t, run("", "--help").out, name)
-		got := run("", name, "--help")
+	require.Equal(t, 2, run("", "domain").code)
+	require.Equal(t, 2, run("", "domain", "sideways").code)
+	for _, name := range []string{
+		"check", "diff", "apply", "promote", "domain", "upstream", "move", "history", "status", "explain", "query", "keys",
+		"domain out", "domain in", "upstream leaving", "upstream back", "move start", "move status", "move cancel", "keys new",
+	} {
+		words := strings.Fields(name)
+		require.Contains(t, run("", "--help").out, words[0])
+		got := run("", append(words, "--help")...)
 		require.Equal(t, 0, got.code)
 		require.Empty(t, got.err)
 		require.Contains(t, got.out, "Usage:")
@@ -54,6 +60,11 @@
 	require.Equal(t, address+": seat 3, incarnation 5, trial revision 7 confirmed 120 ms ago, owns 1 of 2 units, "+
 		"1 of 3 requests in flight, 1 of 2 upstreams cold\n", got.out)
 	require.Contains(t, got.err, gone)
+	got = run("", "status", "--address", address, "--address", address)
+	require.Contains(t, got.out, "\nsame revision in force: trial revision 7 at 2 daemons\n")
+	behind := (&fakeDaemon{revision: 6}).start(t)
+	got = run("", "status", "--address", address, "--address", behind, "--address", address)
+	require.Contains(t, got.out, "\ndifferent revisions in force: trial revision 6 at 1 daemons, trial revision 7 at 2 daemons\n")
 	got = run("", "status", "--json", "--address", address)
 	require.Equal(t, 0, got.code)
 	require.Contains(t, got.out, `"LeaseMillis": 900`)
--- a/cmd/tillerctl/commander/fake_test.go
+++ b/cmd/tillerctl/commander/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"net/http"
 	"net/http/httptest"
@@ -30,6 +31,8 @@
 	beforePut func(d *fakeDaemon) *operator.ErrorStatusCode
 	explain   *operator.Explanation
 	history   *operator.History
+	// revision is that in force; 0 means 7.
+	revision int64
 }
 
 // start serves d and returns its address.
@@ -126,7 +129,7 @@
 
 func (d *fakeDaemon) Status(context.Context) (*operator.Status, error) {
 	return &operator.Status{
-		Seat: 3, Incarnation: 5, Environment: "trial", Revision: 7, KnowledgeAgeMillis: 120,
+		Seat: 3, Incarnation: 5, Environment: "trial", Revision: cmp.Or(d.revision, 7), KnowledgeAgeMillis: 120,
 		Units:     []operator.Unit{{Service: "s", Owned: true, Owner: 3, LeaseMillis: 900}, {Service: "t", Owner: 1}},
 		Upstreams: []operator.UpstreamStatus{{Name: "u1", InFlight: 1, Limit: 2}, {Name: "u2", Limit: 1, Cold: true}},
 	}, nil
@@ -149,6 +152,7 @@
 	c := commander.New(strings.NewReader(in), &out, &errOut)
 	c.NewID = func() string { return "id" }
 	c.Sleep = func(context.Context, time.Duration) {}
+	c.Now = func() time.Time { return time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC) }
 	code := c.Run(context.Background(), args)
 	return result{code: code, out: out.String(), err: errOut.String()}
 }
--- a/cmd/tillerctl/commander/status.go
+++ b/cmd/tillerctl/commander/status.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 
 	"github.com/go-faster/errors"
 
@@ -23,27 +25,69 @@
 		return err
 	}
 	var failed []error
+	revisions := map[revisionOf]int{}
 	for _, d := range daemons {
-		if err := s.show(ctx, c, d); err != nil {
+		status, err := s.show(ctx, c, d)
+		if err != nil {
 			failed = append(failed, errors.Wrap(err, d.address))
+			continue
 		}
+		revisions[revisionOf{status.Environment, status.Revision}]++
+	}
+	if !s.JSON {
+		c.compareRevisions(revisions)
 	}
 	return errors.Join(failed...)
 }
 
-// show prints the state of one daemon.
-func (s *statusCommand) show(ctx context.Context, c *Commander, d daemon) error {
+// revisionOf is the document that a daemon goes by.
+type revisionOf struct {
+	environment string
+	revision    int64
+}
+
+// compareRevisions prints whether several daemons go by the same revision.
+func (c *Commander) compareRevisions(revisions map[revisionOf]int) {
+	sum := 0
+	for _, n := range revisions {
+		sum += n
+	}
+	if sum < 2 {
+		return
+	}
+	var parts []string
+	for r, n := range revisions {
+		parts = append(parts, fmt.Sprintf("%s revision %d at %d daemons", r.environment, r.revision, n))
+	}
+	slices.Sort(parts)
+	if len(parts) == 1 {
+		c.print("same revision in force: %s\n", parts[0])
+		return
+	}
+	c.print("different revisions in force: %s\n", strings.Join(parts, ", "))
+}
+
+// show prints the state of one daemon and returns it.
+func (s *statusCommand) show(ctx context.Context, c *Commander, d daemon) (*operator.Status, error) {
 	status, err := d.Status(ctx)
 	if err != nil {
-		return errors.Wrap(err, "status")
+		return nil, errors.Wrap(err, "status")
 	}
 	if s.JSON {
-		return c.printJSON(status)
+		return status, c.printJSON(status)
 	}
-	c.print("%s: seat %d, incarnation %d, %s revision %d confirmed %d ms ago, owns %d of %d units, %s%s\n",
-		d.address, status.Seat, status.Incarnation, status.Environment, status.Revision, status.KnowledgeAgeMillis,
+	c.print("%s: seat %d, incarnation %d, %s revision %d %s, owns %d of %d units, %s%s\n",
+		d.address, status.Seat, status.Incarnation, status.Environment, status.Revision, confirmed(status.KnowledgeAgeMillis),
 		owned(status.Units), len(status.Units), load(status.Upstreams), stopping(status.Stopping))
-	return nil
+	return status, nil
+}
+
+// confirmed says how old the knowledge is that a revision is the newest.
+func confirmed(age int64) string {
+	if age < 0 {
+		return "never confirmed"
+	}
+	return fmt.Sprintf("confirmed %d ms ago", age)
 }
 
 // printJSON prints v as indented JSON.
