--- a/cmd/tillerload/reporter/counters.go
+++ b/cmd/tillerload/reporter/counters.go
@@ -17,24 +17,28 @@
 	Retries  int64
 	Hedges   int64
 	Canaries int64
+	// Redirects counts queries that a daemon sent on to another daemon after the first one.
+	Redirects int64
 }
 
 // Minus returns the counts since earlier.
 func (c Counters) Minus(earlier Counters) Counters {
 	return Counters{
-		First:    c.First - earlier.First,
-		Retries:  c.Retries - earlier.Retries,
-		Hedges:   c.Hedges - earlier.Hedges,
-		Canaries: c.Canaries - earlier.Canaries,
+		First:     c.First - earlier.First,
+		Retries:   c.Retries - earlier.Retries,
+		Hedges:    c.Hedges - earlier.Hedges,
+		Canaries:  c.Canaries - earlier.Canaries,
+		Redirects: c.Redirects - earlier.Redirects,
 	}
 }
 
 func (c Counters) plus(other Counters) Counters {
 	return Counters{
-		First:    c.First + other.First,
-		Retries:  c.Retries + other.Retries,
-		Hedges:   c.Hedges + other.Hedges,
-		Canaries: c.Canaries + other.Canaries,
+		First:     c.First + other.First,
+		Retries:   c.Retries + other.Retries,
+		Hedges:    c.Hedges + other.Hedges,
+		Canaries:  c.Canaries + other.Canaries,
+		Redirects: c.Redirects + other.Redirects,
 	}
 }
 
@@ -44,6 +48,8 @@
 	Hedges           int64
 	Retries          int64
 	Canaries         int64
+	// Redirects counts queries that a daemon sent on to another daemon after the first one.
+	Redirects int64
 	// Minimum is the least number of requests that covers the shards of every answered query.
 	Minimum int
 	// OverMinimum is UpstreamRequests by Minimum. Requests for queries that were refused count, too.
@@ -59,6 +65,7 @@
 		Hedges:           c.Hedges,
 		Retries:          c.Retries,
 		Canaries:         c.Canaries,
+		Redirects:        c.Redirects,
 		Minimum:          minimum,
 		OverMinimum:      ratio(int(sum), minimum),
 		OverFirst:        ratio(int(sum), int(c.First)),
@@ -136,5 +143,7 @@
 		c.Hedges += n
 	case "canary":
 		c.Canaries += n
+	case "redirect":
+		c.Redirects += n
 	}
 }
--- a/cmd/tillerload/reporter/reporter_test.go
+++ b/cmd/tillerload/reporter/reporter_test.go
@@ -78,11 +78,11 @@
 
 // Guards against counters that are mixed up, or lost with the daemon that had them.
 func TestScrape(t *testing.T) {
-	page := `{"attempt":{"count":5},"retry.Shed":{"count":2},"retry.Timeout":{"count":1},"hedge":{"count":4},"canary":{"count":3},"refusal.NoOwner":{"count":9},"query_millis":{"count":7}}`
+	page := `{"attempt":{"count":5},"retry.Shed":{"count":2},"retry.Timeout":{"count":1},"hedge":{"count":4},"canary":{"count":3},"redirect.NotOwner":{"count":6},"refusal.NoOwner":{"count":9},"query_millis":{"count":7}}`
 	serve := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(page)) }))
 	address := strings.TrimPrefix(serve.URL, "http://")
 	s := reporter.NewScraper(serve.Client())
-	want := reporter.Counters{First: 5, Retries: 3, Hedges: 4, Canaries: 3}
+	want := reporter.Counters{First: 5, Retries: 3, Hedges: 4, Canaries: 3, Redirects: 6}
 	require.Equal(t, want, s.Scrape(t.Context(), []string{address}))
 	serve.Close()
 	require.Equal(t, want, s.Scrape(t.Context(), []string{address}))
--- a/cmd/tillerload/reporter/text.go
+++ b/cmd/tillerload/reporter/text.go
@@ -48,6 +48,7 @@
 	{"over first requests", func(p Part) string { return fmt.Sprintf("%.3f", p.Load.OverFirst) }},
 	{"hedges", func(p Part) string { return fmt.Sprint(p.Load.Hedges) }},
 	{"retries", func(p Part) string { return fmt.Sprint(p.Load.Retries) }},
+	{"redirects", func(p Part) string { return fmt.Sprint(p.Load.Redirects) }},
 	{"send lag p99 ms", func(p Part) string { return fmt.Sprintf("%.1f", p.SendLagP99Millis) }},
 }
 
