Keep an outage out of the estimate of the queue's pace

After an outage of both upstreams of a small service, two queries were refused as too late although there was time: the gap counted as the pace of the queue. A gap now counts at most as long as a query usually takes.

--- a/reducer/dispatch.go
+++ b/reducer/dispatch.go
@@ -29,7 +29,8 @@
 		q := s.waiting[e.Handle]
 		delete(s.waiting, e.Handle)
 		u.lastTag = tag
-		u.pace = u.pace.withDispatch(s.now, e.Cost, u.queue.Len() > 0)
+		longest := max(s.measureOf(q).queries.Median(s.now), 1)
+		u.pace = u.pace.withDispatch(s.now, e.Cost, u.queue.Len() > 0, longest)
 		s.start(q, tag)
 	}
 	u.queue.SetVirtual(s.virtualTime(u))
--- a/reducer/inspector_test.go
+++ b/reducer/inspector_test.go
@@ -177,6 +177,9 @@
 		in.checkAnswer(q, *e.Result.Answer)
 	}
 	in.checkOutcome(q, e.Result)
+	for _, a := range in.bySubject[in.subjects[e.ID]] {
+		a.response = nil
+	}
 }
 
 // checkVerdict checks that nothing has run of a request refused with NotRun, and for
--- a/reducer/unit.go
+++ b/reducer/unit.go
@@ -270,11 +270,12 @@
 // paceKept is the weight of the past at each dispatch: about the last 50 count.
 const paceKept = 0.98
 
-// withDispatch returns p after a query of the given cost left the queue.
-// Only the time during which something waited counts.
-func (p pace) withDispatch(now tiller.Millis, cost int, waiting bool) pace {
+// withDispatch returns p after a query of the given cost left the queue. Only the time during which something
+// waited counts, and of that no more than longest: a longer gap is an outage, which says nothing
+// of the pace after it.
+func (p pace) withDispatch(now tiller.Millis, cost int, waiting bool, longest tiller.Millis) pace {
 	if p.busy {
-		p.millis = p.millis*paceKept + float64(now-p.last)
+		p.millis = p.millis*paceKept + float64(min(now-p.last, longest))
 		p.cost = p.cost*paceKept + float64(cost)
 	}
 	p.last = now
