Check the models of revisions and rollouts with the others

Change: check.sh runs them, with weak fairness for their liveness; the ltl formulas are compiled only for it.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -24,10 +24,13 @@
 		mode=()
 		run+=(-a)
 	fi
+	if [[ " $* " == *" -DFAIR "* ]]; then
+		run+=(-f)
+	fi
 	local start=$SECONDS
 	spin -a "$@" "$spec/$model.pml" >spin.out 2>&1 || true
 	# The code that spin generates has warnings of its own.
-	gcc -w -O2 -DNOREDUCE -DMEMLIM="$megabytes" "${mode[@]}" -o pan pan.c >gcc.out 2>&1 || true
+	gcc -w -O2 -DNOREDUCE -DNFAIR=3 -DMEMLIM="$megabytes" "${mode[@]}" -o pan pan.c >gcc.out 2>&1 || true
 	timeout "$seconds" ./pan "${run[@]}" -m"$depth" >pan.out 2>&1 || true
 	if grep -qE 'assertion violated|acceptance cycle' pan.out; then
 		result=violation
@@ -59,14 +62,20 @@
 later lease lease holds 1800 -DRESTARTS=1 -DLATE=1
 later lease-live lease holds 500 -DLIVENESS -DRESTARTS=1 -DLATE=0
 later singleuse singleuse holds 500 -DSENDS=3
+later revision revision holds 1000
+later revision-live revision holds 1000 -DLIVENESS -DFAIR -DTRIES=1
+later move move holds 500
+later move-live move holds 500 -DLIVENESS -DFAIR
 for mutation in $(grep -oE 'MUTATION_[A-Z_]+' "$spec/lease.pml" | sort -u); do
 	case $mutation in
 	MUTATION_EXPIRY) later "lease-$mutation" lease violation 500 -DLIVENESS -DLATE=0 "-D$mutation" ;;
 	*) later "lease-$mutation" lease violation 500 "-D$mutation" ;;
 	esac
 done
-for mutation in $(grep -oE 'MUTATION_[A-Z_]+' "$spec/singleuse.pml" | sort -u); do
-	later "singleuse-$mutation" singleuse violation 500 "-D$mutation"
+for model in singleuse revision move; do
+	for mutation in $(grep -oE 'MUTATION_[A-Z_]+' "$spec/$model.pml" | sort -u); do
+		later "$model-$mutation" "$model" violation 500 "-D$mutation"
+	done
 done
 wait
 
--- a/spec/move.pml
+++ b/spec/move.pml
@@ -100,4 +100,6 @@
 	}
 }
 
+#ifdef LIVENESS
 ltl final { <> (reported[0] != RUNNING && reported[1] != RUNNING) }
+#endif
--- a/spec/revision.pml
+++ b/spec/revision.pml
@@ -23,7 +23,7 @@
 byte history[4];
 byte verdict[3];
 byte told[3];
-byte done = 0;
+byte finished = 0;
 byte inForce[2];
 byte highest[2];
 bool restarted = false;
@@ -61,7 +61,7 @@
 	}
 }
 
-/* swap leaves in reply: 0 conflict, 1 done, 2 lost. */
+/* swap leaves in reply: 0 conflict, 1 finished, 2 lost. */
 inline swap() {
 	atomic {
 		reply = 0;
@@ -121,7 +121,7 @@
 		checkVerdicts()
 	od;
 	checkVerdicts();
-	done++
+	finished++
 }
 
 inline apply(d, r) {
@@ -168,4 +168,6 @@
 	}
 }
 
-ltl converge { <> [] (done == 2 && inForce[0] == revision && inForce[1] == revision) }
+#ifdef LIVENESS
+ltl converge { <> [] (finished == 2 && inForce[0] == revision && inForce[1] == revision) }
+#endif
