--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -25,8 +25,10 @@
 	attemptAt tiller.Millis
 	// watch fires when the connection may be silent or idle for too long.
 	watch *time.Timer
-	// pingMark is the number of bytes read when the connection was last pinged; -1 before.
-	pingMark int64
+	// askedMark is the number of bytes read when the connection was last asked for a sign of life, at askedAt;
+	// -1 before the first time.
+	askedMark int64
+	askedAt   tiller.Millis
 	// isSuspect says that the connection is examined and gets no new requests.
 	isSuspect bool
 	isRetired bool
--- a/dialer/open.go
+++ b/dialer/open.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{pool: p, pingMark: -1, attemptAt: p.now()}
+	c := &conn{pool: p, askedMark: -1, attemptAt: p.now()}
 	c.watch = time.AfterFunc(time.Hour, func() { p.check(c) })
 	c.watch.Stop()
 	c.meter = newMeter(raw, p.d.cfg.Clock, func() { p.lose(c) })
--- a/dialer/silence.go
+++ b/dialer/silence.go
@@ -13,7 +13,8 @@
 
 // check looks at a connection when its timer fires. After half of the allowed time without bytes it
 // asks for the upstream's health on the same connection: on a live HTTP/2 connection the answer
-// overtakes a slow request, so that only a dead connection stays without bytes.
+// overtakes a slow request, so that only a dead connection stays without bytes. The other half begins
+// when it asks, because a timer that fires late, after a pause of this process, proves no silence.
 func (p *pool) check(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -24,17 +25,20 @@
 		p.checkIdle(c)
 		return
 	}
-	allowed := p.silentAfter()
+	half := p.silentAfter() / 2
 	quiet := p.now() - max(c.busySince, c.meter.readAt())
+	asked := p.now() - c.askedAt
 	switch {
-	case quiet >= allowed:
+	case quiet < half:
+		c.watch.Reset((half - quiet).Duration())
+	case c.askedMark != c.meter.received():
+		p.ask(c, half)
+		c.watch.Reset(half.Duration())
+	case asked < half:
+		c.watch.Reset((half - asked).Duration())
+	default:
 		c.isSuspect = true
 		p.d.goTask(func() { p.examine(c) })
-	case quiet >= allowed/2:
-		p.ping(c, allowed)
-		c.watch.Reset((allowed - quiet).Duration())
-	default:
-		c.watch.Reset((allowed/2 - quiet).Duration())
 	}
 }
 
@@ -49,19 +53,19 @@
 	p.d.goTask(func() { c.cc.Close() })
 }
 
-// ping asks for the upstream's health on c, once for each time without bytes. The lock is held.
-func (p *pool) ping(c *conn, timeout tiller.Millis) {
-	mark := c.meter.received()
-	if c.isHTTP1 || c.pingMark == mark || c.cc.Reserve() != nil {
+// ask asks for the upstream's health on c. Over HTTP/1.1, where a request is in the way, it only takes
+// note of the time. The lock is held.
+func (p *pool) ask(c *conn, timeout tiller.Millis) {
+	c.askedMark, c.askedAt = c.meter.received(), p.now()
+	if c.isHTTP1 || c.cc.Reserve() != nil {
 		return
 	}
-	c.pingMark = mark
 	c.begin(false)
 	p.d.goTask(func() {
 		defer p.finish(c, false)
 		ctx, cancel := context.WithTimeout(p.d.base, timeout.Duration())
 		defer cancel()
-		// Only the bytes of the answer count; examine looks at them.
+		// Only the bytes of the answer count; check looks at them.
 		_ = c.checkHealth(ctx)
 	})
 }
--- a/dialer/silence_test.go
+++ b/dialer/silence_test.go
@@ -74,6 +74,21 @@
 	require.EqualValues(t, 1, f.greatest.Load())
 }
 
+// Guards against a slow request that is taken for a silent connection because the daemon itself was
+// paused for longer than a connection may be silent.
+func TestPauseIsNotSilence(t *testing.T) {
+	begun := make(chan struct{})
+	f := serve(t, &fake{search: func(ctx context.Context, r *upstream.SearchRequest) (upstream.SearchRes, error) {
+		close(begun)
+		return slowly(400*time.Millisecond)(ctx, r)
+	}}, false)
+	o := dial(t, f.address, 2)
+	ended := sendInBackground(t, o, o.attempt(1, tiller.Minute))
+	<-begun
+	o.shift.Add(int64(10 * silentFloorMillis))
+	require.NoError(t, receive(t, ended))
+}
+
 // Guards against a dead upstream that keeps attempts until their deadline.
 func TestUpstreamDown(t *testing.T) {
 	f := serve(t, &fake{search: hang}, false)
