Keep bystanders of a poison request from being blocked

A request whose connection was lost is now kept apart from other suspects before the sign comes, a canary waits until its domain has been quiet for 1 s, and a blocked digest clears those that were lost with it.

--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -12,6 +12,8 @@
 	// DomainMillis is the time within which the loss of several upstreams of one failure domain
 	// is taken for a failure of the domain and not for the effect of a request.
 	DomainMillis = tiller.Second
+	// explainMillis is the time between two reports of one loss of an upstream, at most.
+	explainMillis = tiller.Second
 	// blockingLosses is the number of different upstreams lost at which a digest is blocked.
 	blockingLosses = 2
 	// suspectLimit bounds the number of digests with losses.
@@ -33,6 +35,8 @@
 	clean    *cleanSet
 	// domains holds the latest losses of upstreams by failure domain.
 	domains map[string][]upstreamLoss
+	// explained holds the times of losses that are put down to a digest which is blocked, by upstream.
+	explained map[string]tiller.Millis
 }
 
 // suspect is a digest with losses; it is replaced as a whole.
@@ -58,6 +62,8 @@
 		suspects: make(map[uint64]suspect),
 		clean:    newCleanSet(cleanLimit),
 		domains:  make(map[string][]upstreamLoss),
+
+		explained: make(map[string]tiller.Millis),
 	}
 }
 
@@ -89,18 +95,27 @@
 	return t.clean.has(now, digest) && !t.Suspected(now, digest)
 }
 
-// LostWith returns the upstreams lost with the digest outstanding, and the latest loss in each domain
-// as a time before which another loss in that domain would not be counted.
-func (t *Table) LostWith(now tiller.Millis, digest uint64) (upstreams []string, until map[string]tiller.Millis) {
+// LostWith returns the upstreams lost with the digest outstanding.
+func (t *Table) LostWith(now tiller.Millis, digest uint64) []string {
 	if t.Losses(now, digest) == 0 {
-		return nil, nil
+		return nil
 	}
-	until = make(map[string]tiller.Millis)
+	var upstreams []string
 	for _, l := range t.suspects[digest].losses {
 		upstreams = append(upstreams, l.upstream)
-		until[l.domain] = max(until[l.domain], l.at+DomainMillis)
 	}
-	return upstreams, until
+	return upstreams
+}
+
+// IsQuiet says whether a failure domain has had no loss within DomainMillis, so that
+// the next loss there counts.
+func (t *Table) IsQuiet(now tiller.Millis, domain string) bool {
+	for _, l := range t.domains[domain] {
+		if l.at+DomainMillis > now {
+			return false
+		}
+	}
+	return true
 }
 
 // Succeed records that a request with the digest got its response. Earlier losses no longer
@@ -125,6 +140,9 @@
 		t.forgetDomain(now, domain)
 		return nil
 	}
+	if at, ok := t.explained[upstream]; ok && now-at < explainMillis {
+		return nil
+	}
 	var blocked []uint64
 	for _, digest := range digests {
 		before := t.Losses(now, digest)
@@ -133,9 +151,48 @@
 			blocked = append(blocked, digest)
 		}
 	}
+	for _, digest := range blocked {
+		t.exonerate(now, digest)
+	}
 	return blocked
 }
 
+// exonerate takes the losses that a blocked digest explains from the other digests
+// that were outstanding on the same upstreams.
+func (t *Table) exonerate(now tiller.Millis, blocked uint64) {
+	for upstream, at := range t.explained {
+		if now-at >= explainMillis {
+			delete(t.explained, upstream)
+		}
+	}
+	cause := t.suspects[blocked].losses
+	for _, l := range cause {
+		t.explained[l.upstream] = l.at
+	}
+	for digest, s := range t.suspects {
+		if len(s.losses) < blockingLosses {
+			t.keep(digest, func(l loss) bool { return !isExplained(l, cause) })
+		}
+	}
+}
+
+func isExplained(l loss, cause []loss) bool {
+	return slices.ContainsFunc(cause, func(c loss) bool {
+		return c.upstream == l.upstream && max(c.at-l.at, l.at-c.at) < explainMillis
+	})
+}
+
+// keep leaves a suspected digest only the losses for which f holds.
+func (t *Table) keep(digest uint64, f func(loss) bool) {
+	s := t.suspects[digest]
+	kept := slices.DeleteFunc(slices.Clone(s.losses), func(l loss) bool { return !f(l) })
+	if len(kept) == 0 {
+		delete(t.suspects, digest)
+		return
+	}
+	t.suspects[digest] = suspect{losses: kept, expires: s.expires}
+}
+
 // Learn records what another daemon knows of a digest, and says whether it is blocked from now on.
 func (t *Table) Learn(now tiller.Millis, s Suspect) bool {
 	before := t.Losses(now, s.Digest)
@@ -227,17 +284,7 @@
 
 // forgetDomain takes back the losses counted in a failure domain within DomainMillis.
 func (t *Table) forgetDomain(now tiller.Millis, domain string) {
-	for digest, s := range t.suspects {
-		kept := slices.DeleteFunc(slices.Clone(s.losses), func(l loss) bool {
-			return l.domain == domain && l.at+DomainMillis > now
-		})
-		if len(kept) == len(s.losses) {
-			continue
-		}
-		if len(kept) == 0 {
-			delete(t.suspects, digest)
-			continue
-		}
-		t.suspects[digest] = suspect{losses: kept, expires: s.expires}
+	for digest := range t.suspects {
+		t.keep(digest, func(l loss) bool { return l.domain != domain || l.at+DomainMillis <= now })
 	}
 }
--- a/quarantiner/table_test.go
+++ b/quarantiner/table_test.go
@@ -54,6 +54,11 @@
 		{"learned from another daemon", func(q *quarantiner.Table) {
 			require.True(t, q.Learn(0, quarantiner.Suspect{Digest: 1, Losses: 2, Expires: 5000}))
 		}, true},
+		{"explained by a blocked digest", func(q *quarantiner.Table) {
+			q.Lose(0, "u1", "a", []uint64{1, 2})
+			q.Lose(10, "u2", "b", []uint64{2})
+			q.Lose(20, "u3", "c", []uint64{1})
+		}, false},
 		{"blocked then domain failure", func(q *quarantiner.Table) {
 			q.Lose(0, "u1", "a", []uint64{1})
 			q.Lose(10, "u2", "b", []uint64{1})
--- a/reducer/bounds_test.go
+++ b/reducer/bounds_test.go
@@ -280,17 +280,21 @@
 // A request that crashes every upstream that runs it is sent again and again by its caller.
 func TestPoisonRequestSentAHundredTimes(t *testing.T) {
 	tests := []struct {
-		name string
-		c    cluster
+		name        string
+		c           cluster
+		reportAfter tiller.Millis
 	}{
-		{"fan-out 370", cluster{shards: 370, upstreams: 740, replicas: 2, slots: 8, coldSlots: 4}},
-		{"four upstreams", cluster{shards: 4, upstreams: 4, replicas: 2, slots: 6, coldSlots: 3}},
-		{"two upstreams", cluster{shards: 8, upstreams: 2, replicas: 2, slots: 2}},
-		{"one failure domain", cluster{shards: 4, upstreams: 6, replicas: 2, slots: 6, coldSlots: 3, domains: 1}},
+		{"fan-out 370", cluster{shards: 370, upstreams: 740, replicas: 2, slots: 8, coldSlots: 4}, 0},
+		{"four upstreams", cluster{shards: 4, upstreams: 4, replicas: 2, slots: 6, coldSlots: 3}, 0},
+		{"four upstreams, late signs", cluster{shards: 4, upstreams: 4, replicas: 2, slots: 6, coldSlots: 3}, 80},
+		{"two upstreams", cluster{shards: 8, upstreams: 2, replicas: 2, slots: 2}, 0},
+		{"one failure domain", cluster{shards: 4, upstreams: 6, replicas: 2, slots: 6, coldSlots: 3, domains: 1}, 0},
+		{"one failure domain, late signs", cluster{shards: 4, upstreams: 6, replicas: 2, slots: 6, coldSlots: 3, domains: 1}, 80},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			s := newSim(t, 9, test.c.document(), reducer.Config{})
+			s.reportAfter = test.reportAfter
 			s.load(20, 18_000, func() tiller.Query { return s.search("c", 2000) })
 			poison := map[uint64]bool{}
 			for i := range 100 {
--- a/reducer/fake_test.go
+++ b/reducer/fake_test.go
@@ -153,7 +153,7 @@
 	clear(f.running)
 	f.down = true
 	f.incarnation++
-	f.sim.after(f.sim.hop, func() { f.report(lost) })
+	f.sim.after(f.sim.hop+f.sim.reportAfter, func() { f.report(lost) })
 	f.sim.after(restartMillis, func() { f.down, f.draining, f.completed = false, false, 0 })
 }
 
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -24,6 +24,8 @@
 	document  *tiller.Document
 	// hop is the one-way latency to upstreams.
 	hop tiller.Millis
+	// reportAfter is the time from the loss of connections to the sign that the upstream is lost.
+	reportAfter tiller.Millis
 	// tamper plants a fault between the reducer and the inspector.
 	tamper func([]reducer.Effect) []reducer.Effect
 	// manual leaves the effects to the test, which finds them in last.
--- a/reducer/place.go
+++ b/reducer/place.go
@@ -21,16 +21,15 @@
 	avoid   int32
 	domain  string
 	suspect bool
-	// lost and until are what the request is suspected of.
-	lost  []string
-	until map[string]tiller.Millis
+	// lost are the upstreams lost with the request.
+	lost []string
 }
 
 func (s *State) newChoice(q *query) *choice {
 	c := &choice{state: s, query: q, random: s.draw(), avoid: router.None}
-	c.suspect = s.quarantine.Suspected(s.now, q.digest)
+	c.suspect = s.isSuspect(q.digest)
 	if c.suspect {
-		c.lost, c.until = s.quarantine.LostWith(s.now, q.digest)
+		c.lost = s.quarantine.LostWith(s.now, q.digest)
 	}
 	return c
 }
@@ -48,7 +47,7 @@
 		candidate := router.Candidate{
 			Index:    i,
 			Cold:     (m.limit.Cold() || m.isSlow()) && !r.warming,
-			Failed:   r.shards[sh].failed == i || c.domain != "" && m.upstream.spec.Domain == c.domain,
+			Failed:   r.shards[sh].failed == i || c.shunsDomain(m.upstream.spec.Domain),
 			InFlight: m.limit.InFlight(),
 			Limit:    m.limit.Limit(),
 		}
@@ -59,6 +58,15 @@
 	return found
 }
 
+// shunsDomain says whether other failure domains are preferred: for a hedged request to that of the attempt, and
+// for a canary to one with a recent loss, where the loss of another upstream would not count.
+func (c *choice) shunsDomain(domain string) bool {
+	if c.domain != "" && c.domain == domain {
+		return true
+	}
+	return c.query.running.probing && !c.state.quarantine.IsQuiet(c.state.now, domain)
+}
+
 func (c *choice) allows(m *member, i int32) bool {
 	if !m.roomy || i == c.avoid || m.lacks(c.query.running.plan.snapshot, c.state.now) {
 		return false
@@ -67,17 +75,17 @@
 }
 
 // isolates says whether a suspected request may go to an upstream: one that was not lost with it, whose failure
-// domain has had no loss with it so recently that another one would not count, and that runs
+// domain has had no loss so recently that another one would not count, and that runs
 // no other suspected request, so that the next loss is not blamed on a bystander.
 func (c *choice) isolates(m *member) bool {
 	up := m.upstream
-	if slices.Contains(c.lost, up.spec.Name) || c.state.now < c.until[up.spec.Domain] {
+	if slices.Contains(c.lost, up.spec.Name) || !c.state.quarantine.IsQuiet(c.state.now, up.spec.Domain) {
 		return false
 	}
 	for _, other := range up.members {
 		for id := range other.attempts {
 			d := c.state.attempts[id].query.digest
-			if d != c.query.digest && c.state.quarantine.Suspected(c.state.now, d) {
+			if d != c.query.digest && c.state.isSuspect(d) {
 				return false
 			}
 		}
@@ -154,7 +162,7 @@
 	case !open:
 		s.giveUp(q, sh, lacking)
 		return
-	case s.maySend(q.unit) && s.quarantine.Suspected(s.now, q.digest):
+	case s.maySend(q.unit) && s.isSuspect(q.digest):
 		s.delay(q, sh, s.now+suspectPauseMillis)
 		return
 	}
--- a/reducer/poison.go
+++ b/reducer/poison.go
@@ -22,12 +22,23 @@
 		if s.now-l.at < lossMemoryMillis {
 			digests = append(digests, l.digest)
 		}
+		s.settleLoss(l.digest, u)
 	}
 	u.lost = u.lost[:0]
 	slices.Sort(digests)
 	s.blame(u, slices.Compact(digests))
 }
 
+// settleLoss removes an upstream from those whose loss with the digest is not attributed.
+func (s *State) settleLoss(digest uint64, u *upstream) {
+	left := slices.DeleteFunc(s.shaken[digest], func(other *upstream) bool { return other == u })
+	if len(left) == 0 {
+		delete(s.shaken, digest)
+		return
+	}
+	s.shaken[digest] = left
+}
+
 func (s *State) blame(u *upstream, digests []uint64) {
 	for _, d := range s.quarantine.Lose(s.now, u.spec.Name, u.spec.Domain, digests) {
 		s.block(d)
@@ -46,22 +57,46 @@
 		s.blame(u, []uint64{a.query.digest})
 		return
 	}
-	u.lost = slices.DeleteFunc(u.lost, func(l lostDigest) bool { return s.now-l.at >= lossMemoryMillis })
+	u.lost = slices.DeleteFunc(u.lost, func(l lostDigest) bool {
+		old := s.now-l.at >= lossMemoryMillis
+		if old {
+			s.settleLoss(l.digest, u)
+		}
+		return old
+	})
 	if len(u.lost) < lossMemory {
 		u.lost = append(u.lost, lostDigest{digest: a.query.digest, at: s.now})
+		s.shaken[a.query.digest] = append(s.shaken[a.query.digest], u)
+	}
+}
+
+// isSuspect says whether an upstream was lost with a digest, or may have been: its connection was lost, and there is
+// no sign yet whether the upstream was lost too.
+func (s *State) isSuspect(digest uint64) bool {
+	for _, u := range s.shaken[digest] {
+		for _, l := range u.lost {
+			if l.digest == digest && s.now-l.at < lossMemoryMillis {
+				return true
+			}
+		}
 	}
+	return s.quarantine.Suspected(s.now, digest)
 }
 
 // forgive drops the losses of a digest that are not attributed yet, because a request with it has succeeded since.
-func (u *upstream) forgive(digest uint64) {
-	if len(u.lost) > 0 {
+func (s *State) forgive(digest uint64) {
+	for _, u := range s.shaken[digest] {
 		u.lost = slices.DeleteFunc(u.lost, func(l lostDigest) bool { return l.digest == digest })
 	}
+	delete(s.shaken, digest)
 }
 
 // block refuses the queries that have a digest which is blocked from now on.
 func (s *State) block(d uint64) {
 	s.count(CountBlocked, tiller.ReasonHarmful, 1)
+	for _, name := range s.quarantine.LostWith(s.now, d) {
+		s.explain(name)
+	}
 	g, ok := s.digests[d]
 	if !ok {
 		return
@@ -73,6 +108,18 @@
 	}
 }
 
+// explain drops the losses on an upstream that are not attributed yet, because a blocked digest explains them.
+func (s *State) explain(name string) {
+	u, ok := s.upstreams[name]
+	if !ok {
+		return
+	}
+	for _, l := range u.lost {
+		s.settleLoss(l.digest, u)
+	}
+	u.lost = u.lost[:0]
+}
+
 func (s *State) refuseHarmful(q *query) {
 	// An earlier attempt under the same identifier may have run.
 	q.mayHaveRun = true
--- a/reducer/response.go
+++ b/reducer/response.go
@@ -24,7 +24,7 @@
 	q := a.query
 	q.mayHaveRun = true
 	s.measureResponse(e.Attempt, a)
-	a.member.upstream.forgive(q.digest)
+	s.forgive(q.digest)
 	s.noteResponse(a.member.upstream, e.Response)
 	s.record(q, recorder.Decision{What: recorder.Responded, Upstream: a.member.upstream.spec.Name, Attempt: e.Attempt, Count: len(a.shards)})
 	s.take(e.Attempt, a, e.Response)
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -41,6 +41,8 @@
 	attempts map[tiller.AttemptID]attempt
 	forwards map[ForwardID]*query
 	digests  map[uint64]*digest
+	// shaken are the upstreams with a lost connection that is not attributed yet, by the digests on it.
+	shaken map[uint64][]*upstream
 
 	tokens     *spender.Table
 	quarantine *quarantiner.Table
@@ -75,6 +77,7 @@
 		attempts:   make(map[tiller.AttemptID]attempt),
 		forwards:   make(map[ForwardID]*query),
 		digests:    make(map[uint64]*digest),
+		shaken:     make(map[uint64][]*upstream),
 		tokens:     spender.New(orDefault(cfg.TokenLimit, defaultTokenLimit)),
 		quarantine: quarantiner.New(orDefault(cfg.CleanLimit, defaultCleanLimit)),
 		decisions:  recorder.New(orDefault(cfg.DecisionLimit, defaultDecisionLimit)),
