--- a/reducer/state.go
+++ b/reducer/state.go
@@ -51,6 +51,8 @@
 	// faults holds what is known of faulty versions, by the name of the rollout. Entries are never removed
 	// while the process runs: a fault is not taken back.
 	faults map[string]string
+	// shaken are the upstreams with a lost connection that is not attributed yet, by the digests on it.
+	shaken map[uint64][]*upstream
 
 	tokens     *spender.Table
 	quarantine *quarantiner.Table
@@ -88,6 +90,7 @@
 		orphaned:   make(map[queryKey]int),
 		digests:    make(map[uint64]*digest),
 		faults:     make(map[string]string),
+		shaken:     make(map[uint64][]*upstream),
 		tokens:     spender.New(orDefault(cfg.TokenLimit, defaultTokenLimit)),
 		quarantine: quarantiner.New(orDefault(cfg.CleanLimit, defaultCleanLimit)),
 		decisions:  recorder.New(orDefault(cfg.DecisionLimit, defaultDecisionLimit)),
