Cancel abandoned requests on cold upstreams and keep their place for 250 ms

Cause: leaving such requests to run broke the promise that a caller who goes away cancels the work: TestCallerGone, TestStragglerWait and TestCallerGoneCancelsUpstreamWork failed. Change: the request is cancelled at once and keeps its place for the time in which an upstream takes notice, 250 ms.

--- a/reducer/attempt.go
+++ b/reducer/attempt.go
@@ -143,9 +143,8 @@
 		s.measureOf(q).attempts.Record(s.now, age)
 		s.sample(a, age, false)
 	}
-	isCold := a.member.limit.Cold()
-	if isCold {
-		s.orphan(id, a)
+	if a.member.limit.Cold() {
+		s.orphan(id, a, s.now)
 	} else {
 		a.member.limit = a.member.limit.WithEnded()
 	}
@@ -155,10 +154,6 @@
 	}
 	s.count(CountCancellation, reason, 1)
 	s.record(q, recorder.Decision{What: recorder.Cancelled, Upstream: a.member.upstream.spec.Name, Attempt: id, Reason: reason})
-	if isCold {
-		s.emit(AbandonAttempt{Attempt: id})
-		return
-	}
 	s.emit(CancelAttempt{Attempt: id, Reason: reason})
 }
 
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -29,10 +29,6 @@
 	Reason  tiller.Reason
 }
 
-// AbandonAttempt says that the result of an attempt is not needed. The attempt is left to run
-// to its end, which is reported as usual.
-type AbandonAttempt struct{ Attempt tiller.AttemptID }
-
 // Reply ends a query with its result.
 type Reply struct {
 	Caller string
@@ -116,17 +112,16 @@
 // Stopped says that nothing accepted is left and the daemon may end.
 type Stopped struct{}
 
-func (SendAttempt) effect()    {}
-func (AbandonAttempt) effect() {}
-func (CancelAttempt) effect()  {}
-func (Reply) effect()          {}
-func (IssueToken) effect()     {}
-func (Forward) effect()        {}
-func (CancelForward) effect()  {}
-func (SendLease) effect()      {}
-func (TellWarmth) effect()     {}
-func (Wake) effect()           {}
-func (Count) effect()          {}
-func (Announce) effect()       {}
-func (FinishMove) effect()     {}
-func (Stopped) effect()        {}
+func (SendAttempt) effect()   {}
+func (CancelAttempt) effect() {}
+func (Reply) effect()         {}
+func (IssueToken) effect()    {}
+func (Forward) effect()       {}
+func (CancelForward) effect() {}
+func (SendLease) effect()     {}
+func (TellWarmth) effect()    {}
+func (Wake) effect()          {}
+func (Count) effect()         {}
+func (Announce) effect()      {}
+func (FinishMove) effect()    {}
+func (Stopped) effect()       {}
--- a/reducer/failed.go
+++ b/reducer/failed.go
@@ -10,7 +10,6 @@
 func (s *State) onAttemptFailed(e AttemptFailed) {
 	a, ok := s.attempts[e.Attempt]
 	if !ok {
-		s.failOrphan(e)
 		s.count(CountDropped, e.Reason, 1)
 		return
 	}
@@ -69,7 +68,7 @@
 func (s *State) limitAfter(id tiller.AttemptID, a attempt, e AttemptFailed) {
 	m := a.member
 	if m.limit.Cold() && mayStillRun(e) {
-		s.orphan(id, a)
+		s.orphan(id, a, max(s.now, a.deadline))
 		return
 	}
 	if e.Reason != tiller.ReasonShed {
--- a/reducer/response.go
+++ b/reducer/response.go
@@ -13,7 +13,6 @@
 func (s *State) onResponse(e ResponseArrived) {
 	a, ok := s.attempts[e.Attempt]
 	if !ok {
-		s.answerOrphan(e)
 		s.count(CountDropped, "", 1)
 		return
 	}
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -42,7 +42,7 @@
 	waiting  map[uint64]*query
 	attempts map[tiller.AttemptID]attempt
 	forwards map[ForwardID]*query
-	// orphans are attempts in flight that belong to no query any more.
+	// orphans are attempts that belong to no query any more and may still run.
 	orphans map[tiller.AttemptID]*orphan
 	// orphaned counts the orphans of each request. While there is one, a refusal of the same request
 	// sent again cannot say NotRun.
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -117,7 +117,7 @@
 	case timerQuota:
 		s.growQuota(t.member)
 	case timerOrphan:
-		s.expireOrphan(t.attempt)
+		s.endOrphan(t.attempt)
 	case timerRollout:
 		s.onRolloutDue(t.unit)
 	case timerWarmth:
