Keep a test of verdicts apart from the machine's speed

Cause: on a busy machine TestVerdicts saw Silent and not UpstreamError, because encoding a 16 MiB answer took longer than the 250 ms without bytes. Change: the time is a field of the dialer's configuration; this test, which is not about silence, sets it to a minute. Its expectations are as before.

--- a/dialer/config.go
+++ b/dialer/config.go
@@ -40,6 +40,9 @@
 	Restarted func(upstream string, lost bool)
 	// Loaded is told of an upstream's own load report.
 	Loaded func(upstream string, inFlight int, draining bool)
+	// SilentMillis is the shortest time without bytes, in milliseconds, after which a connection with requests
+	// outstanding is suspect; 0 means 250.
+	SilentMillis tiller.Millis
 	// Count adds n to a counter. It must not block.
 	Count func(name string, label tiller.Reason, n int64)
 }
@@ -48,6 +51,9 @@
 	if c.Random == nil {
 		c.Random = rand.Uint64
 	}
+	if c.SilentMillis == 0 {
+		c.SilentMillis = silentFloorMillis
+	}
 	if c.Restarted == nil {
 		c.Restarted = func(string, bool) {}
 	}
--- a/dialer/fake_test.go
+++ b/dialer/fake_test.go
@@ -186,13 +186,20 @@
 }
 
 func dial(t *testing.T, address string, connections int) *observed {
+	t.Helper()
+	return dialWith(t, address, connections, 0)
+}
+
+// dialWith is dial with another time after which a connection is suspect.
+func dialWith(t *testing.T, address string, connections int, silent tiller.Millis) *observed {
 	t.Helper()
 	clock := tiller.SystemClock()
 	o := &observed{restarts: make(chan bool, 100), loads: make(chan int, 100)}
 	o.Dialer = New(Config{
-		Clock:     tiller.Clock{Now: func() tiller.Millis { return clock.Now() + tiller.Millis(o.shift.Load()) }},
-		Restarted: func(_ string, lost bool) { o.restarts <- lost },
-		Loaded:    func(_ string, inFlight int, _ bool) { o.loads <- inFlight },
+		Clock:        tiller.Clock{Now: func() tiller.Millis { return clock.Now() + tiller.Millis(o.shift.Load()) }},
+		SilentMillis: silent,
+		Restarted:    func(_ string, lost bool) { o.restarts <- lost },
+		Loaded:       func(_ string, inFlight int, _ bool) { o.loads <- inFlight },
 	})
 	o.Apply([]Target{{Name: "u", Address: address, Connections: connections}})
 	t.Cleanup(o.Close)
--- a/dialer/send_test.go
+++ b/dialer/send_test.go
@@ -92,7 +92,8 @@
 			f := serve(t, &fake{search: func(context.Context, *upstream.SearchRequest) (upstream.SearchRes, error) {
 				return test.res, test.err
 			}}, false)
-			o := dial(t, f.address, 1)
+			// A slow machine takes longer than 250 ms to encode the large answer.
+			o := dialWith(t, f.address, 1, tiller.Minute)
 			got := o.failure(t, t.Context(), o.attempt(1, tiller.Minute))
 			require.Equal(t, test.verdict, got.Verdict)
 			require.Equal(t, test.reason, got.Reason)
--- a/dialer/silence.go
+++ b/dialer/silence.go
@@ -8,7 +8,7 @@
 
 // silentAfter returns how long a connection with requests outstanding may carry no bytes.
 func (p *pool) silentAfter() tiller.Millis {
-	return max(silentFloorMillis, silentFactor*p.latency.p99())
+	return max(p.d.cfg.SilentMillis, silentFactor*p.latency.p99())
 }
 
 // check looks at a connection when its timer fires. After half of the allowed time without bytes it
