--- /dev/null
+++ b/cataloger/member.go
@@ -0,0 +1,15 @@
+package cataloger
+
+// Member is a daemon of the fleet as it announces itself to the others.
+type Member struct {
+	// VM is the name of the machine.
+	VM string
+	// Address is host and port of the interface for other daemons.
+	Address string
+	Domain  string
+	Region  string
+	// Incarnation differs between the starts of a daemon on one VM.
+	Incarnation int64
+	// Leaving says that the daemon is stopping and takes no more sub-queries.
+	Leaving bool
+}
--- /dev/null
+++ b/cmd/tillergate/main.go
@@ -0,0 +1,106 @@
+// Command tillergate is the daemon of an entry VM on the users' platform.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr"
+	"github.com/jessevdk/go-flags"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/gatekeeper"
+	"github.com/carawaytiller/carawaytiller/logger"
+	"github.com/carawaytiller/carawaytiller/platform"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// logLines is the number of log lines that wait to be written; further ones are dropped and counted.
+const logLines = 4096
+
+// options are the command line.
+type options struct {
+	LogLevel string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"error" description:"least level of the log lines on standard output"`
+	Args     struct {
+		Command string `positional-arg-name:"run|check" description:"run the daemon, or check its settings"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := execute(ctx, os.Args[1:], os.Getenv(platform.SettingsVariable), os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// execute runs the program until ctx ends and returns its exit code.
+func execute(ctx context.Context, args []string, settingsPath string, stdout, stderr io.Writer) int {
+	var o options
+	_, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
+	var usage *flags.Error
+	switch {
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(stdout, usage.Message)
+		return exitDone
+	case err == nil && o.Args.Command != "run" && o.Args.Command != "check":
+		err = fmt.Errorf("unknown command %q, want run or check", o.Args.Command)
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	settings, err := platform.ReadSettings(settingsPath)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	if o.Args.Command == "check" {
+		fmt.Fprintf(stdout, "settings of %s in %s are valid\n", settings.VM, settings.Domain)
+		return exitDone
+	}
+	return run(ctx, settings, o.LogLevel, stdout, stderr)
+}
+
+func run(ctx context.Context, settings platform.Settings, level string, stdout, stderr io.Writer) int {
+	lines := logger.NewAsync(stdout, logLines)
+	defer lines.Close()
+	log, err := logger.New(lines, level)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	// The settings do not change while the process runs; what operators change is in the store.
+	signal.Ignore(syscall.SIGPIPE)
+	go logReloads(ctx, log)
+	if err := gatekeeper.New(settings, tiller.SystemClock(), log).Run(ctx); err != nil {
+		log.Error(err, "Daemon failed")
+		return exitFailed
+	}
+	return exitDone
+}
+
+// logReloads notes each SIGHUP.
+func logReloads(ctx context.Context, log logr.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			log.Info("Settings are read at the next start only", "Signal", "SIGHUP")
+		}
+	}
+}
--- /dev/null
+++ b/executor/peer.go
@@ -0,0 +1,75 @@
+package executor
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/forwarder"
+	"github.com/carawaytiller/carawaytiller/gatherer"
+)
+
+// GatherPath is the path at which daemons take sub-queries from each other.
+const GatherPath = "/v1/gather"
+
+// SubQuery is the message by which a daemon asks another to gather some shards. Times are in milliseconds.
+type SubQuery struct {
+	Request  Request
+	Route    string
+	Shards   []string
+	TopK     int
+	Attempts int
+	Regions  []string
+	Within   tiller.Millis
+	Left     tiller.Millis
+}
+
+// peerGrace is added to the time of a sub-query before its connection is closed.
+const peerGrace = 60 * tiller.Millis(1)
+
+// ask sends a sub-query to another daemon in a goroutine of its own.
+func (x *Executor) ask(e gatherer.Ask) {
+	t := x.tickets[e.Query]
+	message := SubQuery{
+		Request: t.request, Route: e.Route, Shards: e.Shards, TopK: e.TopK, Attempts: e.Attempts,
+		Regions: e.Regions, Within: e.Within, Left: e.Left,
+	}
+	ctx := x.begin(e.Attempt, min(e.Left, 2*e.Within+peerGrace))
+	go func() {
+		reply, failure := x.askPeer(ctx, e.Member.Address, message)
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.release(e.Attempt)
+		x.step(gatherer.SubQueryEnded{Attempt: e.Attempt, Failure: failure, Reply: reply})
+	}()
+}
+
+func (x *Executor) askPeer(ctx context.Context, address string, message SubQuery) (gatherer.SubReply, *tiller.Failure) {
+	var reply gatherer.SubReply
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		return reply, tiller.NewFailure(tiller.NotRun, tiller.ReasonInternal, err)
+	}
+	resp, failure := x.client.Do(ctx, forwarder.Request{
+		Address: address, Key: GatherPath, Method: http.MethodPost, URI: GatherPath, Host: address,
+		Header: http.Header{"Content-Type": {"application/cbor"}}, Body: body,
+	})
+	if failure != nil {
+		return reply, failure
+	}
+	if resp.Status == http.StatusServiceUnavailable {
+		reply.NoCapacity = true
+		return reply, nil
+	}
+	if resp.Status != http.StatusOK {
+		err := errors.Errorf("the daemon at %s answered %d", address, resp.Status)
+		return reply, tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonInternal, err)
+	}
+	if err := cbor.Unmarshal(resp.Body, &reply); err != nil {
+		return reply, tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonMismatch, err)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/gatherer/arrive.go
@@ -0,0 +1,117 @@
+package gatherer
+
+import (
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// retryAfterMillis is the hint on a refusal for want of upstreams: a restarted upstream or a changed
+// configuration is known within about this time.
+const retryAfterMillis = 250
+
+// arrive admits a client's request, or refuses it at once when it cannot be served.
+func (s *State) arrive(now tiller.Millis, e QueryArrived) {
+	if s.configuration == nil {
+		s.refuseArrival(e, tiller.ReasonNotReady, retryAfterMillis)
+		return
+	}
+	route, ok := s.configuration.Match(e.Host, e.Path)
+	if !ok {
+		s.refuseArrival(e, tiller.ReasonUnknownRoute, 0)
+		return
+	}
+	q := &query{id: e.Query, clientID: e.ID, route: route, version: s.configuration.Version, arrived: now}
+	s.setTimes(q, e)
+	if route.Gathers() {
+		q.topK = route.TopK
+		q.needed = route.Needed()
+		q.addShards(route.Shards)
+	} else {
+		q.needed = 1
+		q.addShards([]string{s.pickService(route)})
+	}
+	s.queries[q.id] = q
+	s.start(now, q)
+}
+
+func (s *State) refuseArrival(e QueryArrived, reason tiller.Reason, retryAfter tiller.Millis) {
+	s.emit(Refuse{
+		Query: e.Query, Verdict: tiller.NotRun, Reason: reason, RetryAfter: retryAfter,
+		Decision: Decision{ID: e.ID, Configuration: s.Version()},
+	})
+}
+
+func (q *query) addShards(services []string) {
+	q.shards = make([]*shard, 0, len(services))
+	for _, service := range services {
+		q.shards = append(q.shards, &shard{query: q, service: service})
+	}
+}
+
+// arriveSub admits the sub-query of another daemon. It names the shards itself, so that both
+// daemons gather the shards of one configuration whatever each has in force.
+func (s *State) arriveSub(now tiller.Millis, e SubQueryArrived) {
+	q := &query{
+		id: e.Query, clientID: e.ID, version: s.Version(), sub: true, arrived: now,
+		answerBy: now + max(e.Within, 1), end: now + max(e.Within, 1),
+		topK: e.TopK,
+	}
+	q.route.Name = e.Route
+	q.route.Repeatable = true
+	q.route.Attempts = max(e.Attempts, 1)
+	q.route.Regions = e.Regions
+	q.addShards(e.Shards)
+	s.queries[q.id] = q
+	s.start(now, q)
+}
+
+// start refuses a query that cannot reach its coverage, and sends the first requests of the others.
+func (s *State) start(now tiller.Millis, q *query) {
+	servable := 0
+	for _, sh := range q.shards {
+		if s.isServable(now, sh) {
+			servable++
+		}
+	}
+	if servable < q.needed {
+		reason := tiller.ReasonCoverageTooLow
+		if q.single() {
+			reason = tiller.ReasonNoUpstream
+		}
+		s.refuse(now, q, reason, retryAfterMillis)
+		return
+	}
+	s.plan(now, q)
+	s.evaluate(now, q)
+}
+
+// isServable says whether any upstream may take a shard.
+func (s *State) isServable(now tiller.Millis, sh *shard) bool {
+	for _, u := range s.services[sh.service] {
+		if s.isUsable(u, sh.query.route) && s.admitsCold(now, u) {
+			return true
+		}
+	}
+	return false
+}
+
+// abandon ends a query whose client has gone: its requests are cancelled at once.
+func (s *State) abandon(now tiller.Millis, id uint64) {
+	q, ok := s.queries[id]
+	if !ok {
+		return
+	}
+	s.finish(q, 0)
+	s.emit(Refuse{Query: id, Verdict: tiller.MayHaveRun, Reason: tiller.ReasonCancelled, Decision: q.decision(now)})
+}
+
+// finish forgets a query and cancels what it still has outstanding after a delay. Within the delay
+// an answer that comes late still tells the latency and saves the connection.
+func (s *State) finish(q *query, linger tiller.Millis) {
+	q.ended = true
+	delete(s.queries, q.id)
+	for _, id := range q.attempts {
+		if _, ok := s.attempts[id]; ok {
+			s.emit(Cancel{Attempt: id, After: linger})
+		}
+	}
+}
--- /dev/null
+++ b/gatherer/attempt.go
@@ -0,0 +1,169 @@
+package gatherer
+
+import (
+	"net/http"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/merger"
+)
+
+// endAttempt takes the outcome of a request to an upstream.
+func (s *State) endAttempt(now tiller.Millis, e AttemptEnded) {
+	a, ok := s.attempts[e.Attempt]
+	if !ok {
+		return
+	}
+	delete(s.attempts, e.Attempt)
+	s.measure(now, a, e)
+	sh := a.shards[0]
+	sh.outstanding--
+	if a.query.ended {
+		return
+	}
+	verdict, reason := judge(a.query, e)
+	if reason == "" {
+		s.accept(now, a, e.Answer)
+		return
+	}
+	if verdict != tiller.NotRun {
+		sh.ran++
+	}
+	a.query.note(now, a, reason)
+	s.again(now, sh, a, reason, e)
+}
+
+// measure records the outcome of a request at its upstream.
+func (s *State) measure(now tiller.Millis, a *attempt, e AttemptEnded) {
+	stat := a.upstream.stat
+	switch {
+	case e.Failure == nil && e.Answer.Misdirected:
+		a.upstream.misdirected = true
+		stat.Failed(now, a.id)
+	case e.Failure == nil && e.Answer.NotExecuted:
+		stat.Shed(now, a.id)
+	case e.Failure == nil && e.Answer.Status >= http.StatusInternalServerError:
+		stat.Failed(now, a.id)
+	case e.Failure == nil:
+		p := s.prior(a.upstream, a.query)
+		p.Sent(a.sent, a.id)
+		p.Answered(now, a.id, 0)
+		stat.Answered(now, a.id, e.Answer.Waiting)
+	case e.Failure.Reason == tiller.ReasonCancelled || e.Failure.Reason == tiller.ReasonTimeout:
+		stat.Abandoned(now, a.id)
+	default:
+		stat.Failed(now, a.id)
+	}
+}
+
+// judge returns an empty reason when an answer may be used, else whether the request may have run,
+// and why the answer may not be used.
+func judge(q *query, e AttemptEnded) (tiller.Verdict, tiller.Reason) {
+	if e.Failure != nil {
+		return e.Failure.Verdict, e.Failure.Reason
+	}
+	a := e.Answer
+	success := a.Status >= 200 && a.Status < 300
+	switch {
+	case a.Misdirected:
+		return tiller.NotRun, tiller.ReasonMisdirected
+	case a.NotExecuted:
+		return tiller.NotRun, tiller.ReasonShed
+	case a.Encoded || success && a.Stamp == "":
+		return tiller.MayHaveRun, tiller.ReasonMismatch
+	case success:
+		return tiller.Ran, ""
+	case !q.single():
+		return tiller.Ran, tiller.ReasonUpstreamError
+	case a.Status >= 500 && q.route.Repeatable:
+		return tiller.Ran, tiller.ReasonUpstreamError
+	case a.Stamp == "":
+		return tiller.MayHaveRun, tiller.ReasonMismatch
+	}
+	return tiller.Ran, ""
+}
+
+// accept takes a usable answer.
+func (s *State) accept(now tiller.Millis, a *attempt, answer Answer) {
+	sh, q := a.shards[0], a.query
+	if sh.status != shardOpen {
+		return
+	}
+	sh.status = shardDone
+	q.done++
+	if q.single() {
+		s.pass(now, q, a.id)
+		return
+	}
+	sh.stamp = answer.Stamp
+	sh.records = merger.Top(answer.Body, q.topK)
+	s.evaluate(now, q)
+}
+
+// pass answers a query with the answer of an upstream.
+func (s *State) pass(now tiller.Millis, q *query, attempt uint64) {
+	s.emit(Pass{Query: q.id, Attempt: attempt, Decision: q.decision(now)})
+	s.finish(q, lingerMillis)
+}
+
+// again decides what follows a failed request: another upstream, a wait for the one still
+// outstanding, or the end of the shard.
+func (s *State) again(now tiller.Millis, sh *shard, a *attempt, reason tiller.Reason, e AttemptEnded) {
+	q := sh.query
+	if sh.status != shardOpen || sh.outstanding > 0 {
+		s.evaluate(now, q)
+		return
+	}
+	if s.retry(now, sh, reason) {
+		s.evaluate(now, q)
+		return
+	}
+	// The upstream's own failure is the most honest answer that there is.
+	if q.single() && e.Failure == nil && reason == tiller.ReasonUpstreamError && e.Answer.Stamp != "" && !e.Answer.Encoded {
+		s.pass(now, q, a.id)
+		return
+	}
+	sh.lose(reason)
+	s.evaluate(now, q)
+}
+
+// retry sends one more request for a shard, or sets a time for it. It says whether there is hope.
+func (s *State) retry(now tiller.Millis, sh *shard, reason tiller.Reason) bool {
+	if !sh.mayAsk() || now >= sh.query.end-minUsefulMillis {
+		return false
+	}
+	if !s.budget(sh.service).Allows(1) {
+		sh.reason = tiller.ReasonRetryBudget
+		return false
+	}
+	u := s.next(now, sh)
+	if u == nil {
+		return false
+	}
+	if sh.hasTried(u) && reason == tiller.ReasonShed && sh.hedgeAt != now {
+		sh.hedgeAt = now + shedPauseMillis
+		return sh.hedgeAt < sh.query.end-minUsefulMillis
+	}
+	s.sendExtra(now, sh, u, reason)
+	return true
+}
+
+// sendExtra sends a further request for a shard, which spends from the budget.
+func (s *State) sendExtra(now tiller.Millis, sh *shard, u *upstream, reason tiller.Reason) {
+	s.budgets[sh.service] = s.budget(sh.service).WithSpent(1)
+	s.emit(Retried{Query: sh.query.id, Service: sh.service, Upstream: u.ID, Reason: reason})
+	s.send(now, sh, u)
+}
+
+// note keeps an outcome for the log.
+func (q *query) note(now tiller.Millis, a *attempt, reason tiller.Reason) {
+	if len(q.trouble) >= maxTrouble {
+		return
+	}
+	t := Trouble{Reason: reason, After: now - a.sent, Expected: a.expected}
+	if a.upstream != nil {
+		t.Service, t.Upstream = a.upstream.Service, a.upstream.ID
+	} else {
+		t.Upstream = a.peer.VM
+	}
+	q.trouble = append(q.trouble, t)
+}
--- /dev/null
+++ b/gatherer/choose.go
@@ -0,0 +1,118 @@
+package gatherer
+
+import (
+	"math"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/balancer"
+)
+
+const (
+	// nearPriorMillis is the latency expected of an upstream of the own region before any is measured.
+	nearPriorMillis = 20.0
+	// farPriorMillis is the same for other regions, with about two ways of 20 ms.
+	farPriorMillis = 65.0
+	// farPenaltyMillis makes up for the price of bytes between regions.
+	farPenaltyMillis = 15.0
+	// peerPriorMillis is the latency expected of a sub-query to a daemon of another region.
+	peerPriorMillis = 75.0
+	// noisePart spreads requests over candidates whose costs are about equal.
+	noisePart = 0.15
+	// minConnections is the number of requests that a daemon may have outstanding at an upstream
+	// even when the fleet is large.
+	minConnections = 2
+	// minGroup is the number of shards from which a sub-query is worth its hop.
+	minGroup = 2
+)
+
+// priorKey names upstreams with about the same latency: those of one region that answer the shards
+// of queries, or one service's.
+type priorKey struct {
+	region  string
+	service string
+}
+
+// prior returns what is known of upstreams like u.
+func (s *State) prior(u *upstream, q *query) *balancer.Stat {
+	key := priorKey{region: u.Region}
+	if q.single() {
+		key.service = u.Service
+	}
+	p, ok := s.priors[key]
+	if !ok {
+		p = balancer.New()
+		s.priors[key] = p
+	}
+	return p
+}
+
+// expected returns the latency of upstreams like u, in milliseconds.
+func (s *State) expected(now tiller.Millis, u *upstream, q *query) float64 {
+	first := farPriorMillis
+	if u.Region == s.settings.Region {
+		first = nearPriorMillis
+	}
+	return s.prior(u, q).Mean(now, first)
+}
+
+// cost ranks an upstream for a query.
+func (s *State) cost(now tiller.Millis, u *upstream, q *query) float64 {
+	cost := u.stat.Cost(now, s.expected(now, u, q), u.Slots)
+	cost *= 1 + noisePart*s.random.Float64()
+	if u.Region != s.settings.Region {
+		cost += farPenaltyMillis
+	}
+	return cost
+}
+
+// mayCarry says whether this daemon's share of the connections of an upstream has room.
+func (s *State) mayCarry(u *upstream) bool {
+	limit := s.configuration.Service(u.Service).MaxConnections
+	if limit <= 0 {
+		return true
+	}
+	return u.stat.Inflight() < max(int(s.fleet.share(float64(limit))), minConnections)
+}
+
+// candidate is an upstream with its cost.
+type candidate struct {
+	upstream *upstream
+	cost     float64
+}
+
+// best returns the cheapest upstream for a shard that was not asked before; when all were asked,
+// the cheapest of those, which have all turned the request away. again permits that.
+func (s *State) best(now tiller.Millis, sh *shard, again bool) (near, far candidate) {
+	near.cost, far.cost = math.Inf(1), math.Inf(1)
+	for _, u := range s.services[sh.service] {
+		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || !s.mayCarry(u) || !s.admitsCold(now, u) {
+			continue
+		}
+		c := candidate{upstream: u, cost: s.cost(now, u, sh.query)}
+		if u.Region == s.settings.Region {
+			if c.cost < near.cost {
+				near = c
+			}
+		} else if c.cost < far.cost {
+			far = c
+		}
+	}
+	return near, far
+}
+
+// cheaper returns the cheaper of two candidates; its upstream is nil when there is none.
+func cheaper(a, b candidate) candidate {
+	if b.cost < a.cost {
+		return b
+	}
+	return a
+}
+
+// next returns the upstream for the next request of a shard; nil when there is none.
+func (s *State) next(now tiller.Millis, sh *shard) *upstream {
+	c := cheaper(s.best(now, sh, false))
+	if c.upstream == nil && len(sh.tried) > 0 && sh.outstanding == 0 {
+		c = cheaper(s.best(now, sh, true))
+	}
+	return c.upstream
+}
--- /dev/null
+++ b/gatherer/evaluate.go
@@ -0,0 +1,128 @@
+package gatherer
+
+import (
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/merger"
+)
+
+const (
+	// lingerMillis is the time for which requests stay outstanding after their query was answered.
+	lingerMillis = 250
+	// minUsefulMillis is the shortest time in which a further request can be of use.
+	minUsefulMillis = 5
+	// maxTrouble bounds the outcomes that are kept for the log of one query.
+	maxTrouble = 12
+)
+
+// evaluate answers or refuses a query when its time has come, or sends the further requests that are due.
+func (s *State) evaluate(now tiller.Millis, q *query) {
+	if q.ended {
+		return
+	}
+	if now < q.end {
+		s.hedge(now, q)
+	}
+	switch {
+	case q.open() == 0 && q.done >= max(q.needed, 1) || q.open() == 0 && q.sub:
+		s.reply(now, q)
+	case now >= q.answerBy && q.done >= max(q.needed, 1) || now >= q.end && q.sub:
+		s.reply(now, q)
+	case q.done+q.open() < max(q.needed, 1):
+		s.refuse(now, q, s.refusalReason(q), retryAfterMillis)
+	case now >= q.end:
+		s.refuse(now, q, tiller.ReasonTimeout, 0)
+	default:
+		s.setTimer(now, q)
+	}
+}
+
+// refusalReason returns the reason that most explains a query without enough shards.
+func (s *State) refusalReason(q *query) tiller.Reason {
+	if q.single() && q.shards[0].reason != "" {
+		return q.shards[0].reason
+	}
+	return tiller.ReasonCoverageTooLow
+}
+
+// hedge sends the further requests that are due.
+func (s *State) hedge(now tiller.Millis, q *query) {
+	for _, sh := range q.shards {
+		if sh.status != shardOpen || sh.hedgeAt == 0 || sh.hedgeAt > now {
+			continue
+		}
+		reason := tiller.ReasonHedge
+		if sh.outstanding == 0 {
+			reason = tiller.ReasonShed
+		}
+		sh.hedgeAt = now
+		sent := s.retry(now, sh, reason)
+		if sh.hedgeAt == now {
+			sh.hedgeAt = 0
+		}
+		if !sent && sh.outstanding == 0 {
+			sh.lose(tiller.ReasonShed)
+		}
+	}
+}
+
+// reply answers a query with the parts that have come.
+func (s *State) reply(now tiller.Millis, q *query) {
+	for _, sh := range q.shards {
+		if sh.status == shardOpen && sh.reason == "" {
+			sh.reason = tiller.ReasonTimeout
+		}
+	}
+	if q.sub {
+		s.replySub(now, q)
+		return
+	}
+	parts, records := q.assemble()
+	stamps := make([]string, 0, len(parts))
+	for _, p := range parts {
+		stamps = append(stamps, p.Stamp)
+	}
+	s.emit(ReplyGathered{
+		Query: q.id, Stamps: stamps, Missing: len(q.shards) - q.done, Records: records, Decision: q.decision(now),
+	})
+	s.finish(q, lingerMillis)
+}
+
+func (s *State) replySub(now tiller.Millis, q *query) {
+	parts, records := q.assemble()
+	r := SubReply{Parts: parts, Records: records}
+	for _, sh := range q.shards {
+		if sh.status == shardDone {
+			continue
+		}
+		r.Missing = append(r.Missing, MissingShard{Shard: sh.service, Reason: sh.reason, Attempts: sh.ran + sh.outstanding})
+	}
+	s.emit(ReplySub{Query: q.id, Reply: r, Decision: q.decision(now)})
+	s.finish(q, lingerMillis)
+}
+
+// refuse ends a query without an answer. What is outstanding is cancelled at once.
+func (s *State) refuse(now tiller.Millis, q *query, reason tiller.Reason, retryAfter tiller.Millis) {
+	verdict := tiller.NotRun
+	if q.mayHaveRun() {
+		verdict, retryAfter = tiller.MayHaveRun, 0
+	}
+	s.emit(Refuse{Query: q.id, Verdict: verdict, Reason: reason, RetryAfter: retryAfter, Decision: q.decision(now)})
+	s.finish(q, 0)
+}
+
+// assemble returns the parts that have come and their greatest records.
+func (q *query) assemble() ([]Part, []byte) {
+	records := merger.NewRecords(q.topK)
+	parts := make([]Part, 0, q.done)
+	for _, merged := range q.merged {
+		records.Add(merged)
+	}
+	for _, sh := range q.shards {
+		if sh.status != shardDone {
+			continue
+		}
+		parts = append(parts, Part{Shard: sh.service, Stamp: sh.stamp})
+		records.Add(sh.records)
+	}
+	return parts, records.Bytes()
+}
--- /dev/null
+++ b/gatherer/event.go
@@ -0,0 +1,130 @@
+package gatherer
+
+import (
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/cataloger"
+)
+
+// Event is something that happened. The types below are all events.
+type Event interface{ event() }
+
+// QueryArrived is a client's request whose header and body were read.
+type QueryArrived struct {
+	// Query numbers the request within the process.
+	Query uint64
+	// ID is the client's identifier of the request.
+	ID   string
+	Host string
+	Path string
+	// Digest identifies equal requests: method, host, path and body.
+	Digest uint64
+	// Deadline is the time that the client waits; 0 when it names none.
+	Deadline tiller.Millis
+	// NewConnection says that the request is the first on its connection.
+	NewConnection bool
+}
+
+// SubQueryArrived is the request of another daemon for some shards of a query.
+type SubQueryArrived struct {
+	Query    uint64
+	ID       string
+	Route    string
+	Digest   uint64
+	Shards   []string
+	TopK     int
+	Attempts int
+	Regions  []string
+	// Within is the time within which the reply is of use.
+	Within tiller.Millis
+	// Deadline is the time that the client still waits.
+	Deadline tiller.Millis
+}
+
+// QueryAbandoned says that the client or the asking daemon has closed its connection.
+type QueryAbandoned struct{ Query uint64 }
+
+// AttemptEnded is the outcome of a request to an upstream.
+type AttemptEnded struct {
+	Attempt uint64
+	// Failure is nil when there is a whole answer.
+	Failure *tiller.Failure
+	Answer  Answer
+}
+
+// SubQueryEnded is the outcome of a sub-query to another daemon.
+type SubQueryEnded struct {
+	Attempt uint64
+	// Failure is nil when there is a reply.
+	Failure *tiller.Failure
+	Reply   SubReply
+}
+
+// ConfigurationChanged brings a configuration into force, unless a newer one is.
+type ConfigurationChanged struct{ Configuration *cataloger.Configuration }
+
+// UpstreamChanged is the present entry of an upstream.
+type UpstreamChanged struct{ Upstream cataloger.Upstream }
+
+// UpstreamGone says that an upstream has no entry any more.
+type UpstreamGone struct{ ID string }
+
+// MembersChanged lists the daemons of the fleet, this one included.
+type MembersChanged struct{ Members []cataloger.Member }
+
+// DomainEvacuated takes a failure domain out of service, or back into it.
+type DomainEvacuated struct {
+	Domain string
+	Out    bool
+}
+
+// TimerFired says that the time asked for by Next has come.
+type TimerFired struct{}
+
+func (QueryArrived) event()         {}
+func (SubQueryArrived) event()      {}
+func (QueryAbandoned) event()       {}
+func (AttemptEnded) event()         {}
+func (SubQueryEnded) event()        {}
+func (ConfigurationChanged) event() {}
+func (UpstreamChanged) event()      {}
+func (UpstreamGone) event()         {}
+func (MembersChanged) event()       {}
+func (DomainEvacuated) event()      {}
+func (TimerFired) event()           {}
+
+// Answer is an upstream's whole answer.
+type Answer struct {
+	Status int
+	// Stamp is the upstream's signature; an answer without one is not an upstream's own.
+	Stamp string
+	// NotExecuted says that the upstream has not run the request and will not.
+	NotExecuted bool
+	// Misdirected says that the address belongs to another process now.
+	Misdirected bool
+	// Encoded says that the body is not the upstream's body as it was asked for.
+	Encoded bool
+	Body    []byte
+	// Waiting is the number of requests that wait at the upstream.
+	Waiting int
+}
+
+// SubReply is the reply to a sub-query.
+type SubReply struct {
+	Parts   []Part
+	Records []byte
+	// Missing are the shards without a part.
+	Missing []MissingShard
+	// NoCapacity says that the daemon did not take the sub-query; nothing ran.
+	NoCapacity bool
+}
+
+// Part is the signature of a shard's answer whose records were merged.
+type Part struct{ Shard, Stamp string }
+
+// MissingShard says why a shard has no part.
+type MissingShard struct {
+	Shard  string
+	Reason tiller.Reason
+	// Attempts is the number of upstreams that may have run the request.
+	Attempts int
+}
--- /dev/null
+++ b/gatherer/fleet.go
@@ -0,0 +1,70 @@
+package gatherer
+
+import (
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/balancer"
+	"github.com/carawaytiller/carawaytiller/cataloger"
+	"github.com/carawaytiller/carawaytiller/hedger"
+)
+
+const (
+	// fleetHoldMillis is the time for which daemons that disappeared still count when allowances
+	// are shared: their entries lapse while the store is away, although they live.
+	fleetHoldMillis = 30 * tiller.Second
+	// safePart is the part of an allowance of the whole fleet that is used, because the daemons'
+	// windows and views of the fleet differ.
+	safePart = 0.8
+)
+
+// fleet is the number of daemons that share the allowances of the whole fleet.
+type fleet struct {
+	size  int
+	since tiller.Millis
+}
+
+// with returns the fleet when n daemons are known at a time. It grows at once and shrinks late.
+func (f fleet) with(now tiller.Millis, n int) fleet {
+	if n >= f.size || now-f.since >= fleetHoldMillis {
+		return fleet{size: n, since: now}
+	}
+	return f
+}
+
+// share returns one daemon's part of an allowance of the whole fleet.
+func (f fleet) share(allowance float64) float64 {
+	return allowance * safePart / float64(max(f.size, 1))
+}
+
+func (s *State) changeMembers(now tiller.Millis, members []cataloger.Member) {
+	s.fleet = s.fleet.with(now, len(members))
+	peers := make(map[string]*peer, len(members))
+	for _, m := range members {
+		if m.VM == s.settings.VM {
+			continue
+		}
+		p, ok := s.peers[m.VM]
+		if !ok || p.Incarnation != m.Incarnation || p.Address != m.Address {
+			p = &peer{stat: balancer.New()}
+		}
+		p.Member = m
+		peers[m.VM] = p
+	}
+	s.peers = peers
+	for service, b := range s.budgets {
+		s.budgets[service] = b.WithBurst(s.burst())
+	}
+}
+
+// burst returns the number of extra requests that this daemon may send to a service at once.
+func (s *State) burst() int { return max(int(s.fleet.share(s.settings.RetrySlack)), 1) }
+
+// budget returns the extra requests that this daemon may send to a service. A new budget starts
+// half full, because the daemon may have sent some before a restart.
+func (s *State) budget(service string) hedger.Budget {
+	b, ok := s.budgets[service]
+	if !ok {
+		burst := s.burst()
+		b = hedger.NewBudget(int(s.settings.RetryRatio*safePart*100), burst).WithGain((burst + 1) / 2)
+	}
+	return b
+}
--- /dev/null
+++ b/gatherer/hedge.go
@@ -0,0 +1,42 @@
+package gatherer
+
+import (
+	"math"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+const (
+	// minHedgeMillis is the shortest wait before a second request: shorter waits hit answers on their way.
+	minHedgeMillis = 12.0
+	// hedgeSlackMillis is added to the latency that few answers exceed.
+	hedgeSlackMillis = 4.0
+	// shedPauseMillis is the wait before an upstream that has turned a request away is asked again.
+	shedPauseMillis = 12
+	// peerMarginMillis is kept for the way of a reply between regions.
+	peerMarginMillis = 24
+	// minPeerMillis is the least time that a daemon gets for a sub-query.
+	minPeerMillis = 30
+)
+
+// hedgeTime returns the time at which a second request for a shard is due: when few answers would
+// still come, and not so late that the second could not be in time.
+func (s *State) hedgeTime(now tiller.Millis, sh *shard, u *upstream, expected float64) tiller.Millis {
+	if !sh.query.route.Repeatable {
+		return 0
+	}
+	high := u.stat.High(now, s.expected(now, u, sh.query)) + hedgeSlackMillis
+	near, far := s.best(now, sh, false)
+	if other := cheaper(near, far); other.upstream != nil {
+		rest := float64(sh.query.answerBy-now) - s.expected(now, other.upstream, sh.query) - hedgeSlackMillis
+		high = math.Min(high, math.Max(rest, 1.2*expected))
+	}
+	return now + tiller.Millis(math.Max(high, minHedgeMillis))
+}
+
+// askLate returns the time at which the shards of a sub-query are asked for directly.
+func (s *State) askLate(now tiller.Millis, q *query, p *peer) tiller.Millis {
+	wait := p.stat.High(now, peerPriorMillis) + hedgeSlackMillis
+	rest := float64(q.answerBy-now) - farPriorMillis
+	return now + tiller.Millis(math.Max(math.Min(wait, rest), float64(q.answerBy-now)/2))
+}
--- /dev/null
+++ b/gatherer/plan.go
@@ -0,0 +1,145 @@
+package gatherer
+
+import (
+	"math"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// plan sends the first requests of a query. Shards with a good upstream in the own region are asked
+// directly. The others go in groups to daemons of regions that hold them, which merge the records
+// there: this saves most bytes between regions, and those daemons have warm connections.
+func (s *State) plan(now tiller.Millis, q *query) {
+	if q.single() || q.sub {
+		for _, sh := range q.shards {
+			s.sendFirst(now, sh)
+		}
+		return
+	}
+	groups := make(map[*peer][]*shard)
+	var order []*peer
+	peers := s.bestPeers(now, q)
+	for _, sh := range q.shards {
+		p := s.peerFor(now, sh, peers)
+		if p == nil {
+			s.sendFirst(now, sh)
+			continue
+		}
+		if groups[p] == nil {
+			order = append(order, p)
+		}
+		groups[p] = append(groups[p], sh)
+	}
+	for _, p := range order {
+		if len(groups[p]) < minGroup {
+			for _, sh := range groups[p] {
+				s.sendFirst(now, sh)
+			}
+			continue
+		}
+		s.ask(now, q, p, groups[p])
+	}
+}
+
+// rankedPeer is the best daemon of a region with its cost.
+type rankedPeer struct {
+	peer *peer
+	cost float64
+}
+
+// bestPeers returns the cheapest daemon of each other region in which the query may be served.
+func (s *State) bestPeers(now tiller.Millis, q *query) map[string]rankedPeer {
+	best := make(map[string]rankedPeer)
+	for _, p := range s.peers {
+		if p.Region == s.settings.Region || p.Leaving || !q.route.Allows(p.Region) {
+			continue
+		}
+		if p.stat.Stalled(now, peerPriorMillis) {
+			continue
+		}
+		cost := p.stat.Cost(now, peerPriorMillis, 1) * (1 + noisePart*s.random.Float64())
+		if known, ok := best[p.Region]; !ok || cost < known.cost || cost == known.cost && p.VM < known.peer.VM {
+			best[p.Region] = rankedPeer{peer: p, cost: cost}
+		}
+	}
+	return best
+}
+
+// peerFor returns the daemon that gathers a shard for this one; nil when it is asked directly.
+func (s *State) peerFor(now tiller.Millis, sh *shard, peers map[string]rankedPeer) *peer {
+	near, far := s.best(now, sh, false)
+	var chosen rankedPeer
+	chosen.cost = math.Inf(1)
+	for _, u := range s.services[sh.service] {
+		p, ok := peers[u.Region]
+		if ok && p.cost < chosen.cost && s.isUsable(u, sh.query.route) && now >= u.cold.until {
+			chosen = p
+		}
+	}
+	if chosen.peer == nil || near.cost <= min(chosen.cost+farPenaltyMillis, far.cost) {
+		return nil
+	}
+	// A daemon that serves far worse than the way across is avoided.
+	if far.upstream != nil && chosen.cost > 2*far.cost+farPenaltyMillis {
+		return nil
+	}
+	return chosen.peer
+}
+
+// sendFirst sends the first request of a shard, which adds to the budget for further ones.
+func (s *State) sendFirst(now tiller.Millis, sh *shard) {
+	u := s.next(now, sh)
+	if u == nil {
+		sh.lose(tiller.ReasonNoUpstream)
+		return
+	}
+	sh.asked = true
+	s.budgets[sh.service] = s.budget(sh.service).WithFirst(1)
+	s.send(now, sh, u)
+}
+
+// send sends a request of a shard to an upstream.
+func (s *State) send(now tiller.Millis, sh *shard, u *upstream) {
+	q := sh.query
+	s.lastAttempt++
+	expected := u.stat.Mean(now, s.expected(now, u, q))
+	a := &attempt{
+		id: s.lastAttempt, query: q, shards: []*shard{sh}, upstream: u, sent: now, expected: tiller.Millis(expected),
+	}
+	s.attempts[a.id] = a
+	q.attempts = append(q.attempts, a.id)
+	if !sh.hasTried(u) {
+		sh.tried = append(sh.tried, u)
+	}
+	sh.outstanding++
+	q.sent++
+	u.stat.Sent(now, a.id)
+	if now < u.cold.until {
+		u.cold.tokens--
+	}
+	sh.hedgeAt = s.hedgeTime(now, sh, u, expected)
+	s.emit(Send{Query: q.id, Attempt: a.id, Upstream: u.Upstream, Left: q.end - now, Once: !q.route.Repeatable})
+}
+
+// ask sends a sub-query for several shards to another daemon.
+func (s *State) ask(now tiller.Millis, q *query, p *peer, shards []*shard) {
+	s.lastAttempt++
+	mean := p.stat.Mean(now, peerPriorMillis)
+	a := &attempt{id: s.lastAttempt, query: q, shards: shards, peer: p, sent: now, expected: tiller.Millis(mean)}
+	s.attempts[a.id] = a
+	q.attempts = append(q.attempts, a.id)
+	names := make([]string, 0, len(shards))
+	late := s.askLate(now, q, p)
+	for _, sh := range shards {
+		names = append(names, sh.service)
+		sh.outstanding++
+		sh.hedgeAt = late
+	}
+	q.sent++
+	p.stat.Sent(now, a.id)
+	s.emit(Ask{
+		Query: q.id, Attempt: a.id, Member: p.Member, Route: q.route.Name, Shards: names, TopK: q.route.TopK,
+		Attempts: q.route.Attempts, Regions: q.route.Regions,
+		Within: max(q.answerBy-now-peerMarginMillis, minPeerMillis), Left: q.end - now,
+	})
+}
--- /dev/null
+++ b/gatherer/query.go
@@ -0,0 +1,135 @@
+package gatherer
+
+import (
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/cataloger"
+)
+
+// query is a request that is not answered yet.
+type query struct {
+	id       uint64
+	clientID string
+	route    cataloger.Route
+	version  int64
+	// sub says that another daemon asked, for some of the shards.
+	sub     bool
+	arrived tiller.Millis
+	// answerBy is the time at which an answer goes out if its coverage suffices.
+	answerBy tiller.Millis
+	// end is the time at which the client or the operator gives up.
+	end     tiller.Millis
+	shards  []*shard
+	done    int
+	lost    int
+	needed  int
+	sent    int
+	wakeAt  tiller.Millis
+	topK    int
+	// merged holds the records of sub-queries, each merged from several parts.
+	merged   [][]byte
+	attempts []uint64
+	trouble []Trouble
+	ended   bool
+}
+
+// shard is the part of a query that one service answers. A query on a plain route has one.
+type shard struct {
+	query   *query
+	service string
+	status  shardStatus
+	// tried holds the upstreams asked so far.
+	tried []*upstream
+	// ran is the number of upstreams on which the request has ended and may have run.
+	ran         int
+	outstanding int
+	// hedgeAt is the time at which a further request is due.
+	hedgeAt tiller.Millis
+	// asked says that a first request was sent from this daemon.
+	asked  bool
+	reason tiller.Reason
+	// stamp and records are the part of an answered shard. A part that a sub-query brought has
+	// its records in merged.
+	stamp   string
+	records []byte
+}
+
+type shardStatus uint8
+
+const (
+	shardOpen shardStatus = iota
+	shardDone
+	shardLost
+)
+
+// attempt is a request to an upstream or a sub-query to a daemon that has not ended.
+type attempt struct {
+	id       uint64
+	query    *query
+	shards   []*shard
+	upstream *upstream
+	peer     *peer
+	sent     tiller.Millis
+	expected tiller.Millis
+}
+
+// single says whether the query goes to one upstream whose answer is passed on.
+func (q *query) single() bool { return !q.sub && !q.route.Gathers() }
+
+// open returns the number of shards that are neither answered nor given up.
+func (q *query) open() int { return len(q.shards) - q.done - q.lost }
+
+// mayHaveRun says whether an upstream may have run the request or may still run it.
+func (q *query) mayHaveRun() bool {
+	for _, sh := range q.shards {
+		if sh.ran > 0 || sh.outstanding > 0 || sh.status == shardDone {
+			return true
+		}
+	}
+	return false
+}
+
+// lose gives a shard up.
+func (sh *shard) lose(reason tiller.Reason) {
+	if sh.status != shardOpen {
+		return
+	}
+	sh.status = shardLost
+	sh.reason = reason
+	sh.query.lost++
+}
+
+// hasTried says whether an upstream was asked.
+func (sh *shard) hasTried(u *upstream) bool {
+	for _, other := range sh.tried {
+		if other == u {
+			return true
+		}
+	}
+	return false
+}
+
+// mayAsk says whether the request may be sent to one more upstream. A request that must not run
+// twice is sent again only after it is certain that it has not run.
+func (sh *shard) mayAsk() bool {
+	if !sh.query.route.Repeatable && sh.ran+sh.outstanding > 0 {
+		return false
+	}
+	return sh.ran+sh.outstanding < sh.query.route.Attempts
+}
+
+func (q *query) decision(now tiller.Millis) Decision {
+	trouble := q.trouble
+	for _, sh := range q.shards {
+		if sh.status != shardDone && sh.reason != "" {
+			trouble = append(trouble, Trouble{Service: sh.service, Reason: sh.reason})
+		}
+	}
+	return Decision{
+		ID:            q.clientID,
+		Route:         q.route.Name,
+		Configuration: q.version,
+		Took:          now - q.arrived,
+		Attempts:      q.sent,
+		Trouble:       trouble,
+	}
+}
--- /dev/null
+++ b/gatherer/state.go
@@ -0,0 +1,179 @@
+package gatherer
+
+import (
+	"math/rand/v2"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/balancer"
+	"github.com/carawaytiller/carawaytiller/cataloger"
+	"github.com/carawaytiller/carawaytiller/hedger"
+)
+
+// Settings are fixed for the life of a State.
+type Settings struct {
+	VM     string
+	Region string
+	// Seed starts the random numbers that break ties.
+	Seed uint64
+	// RetryRatio and RetrySlack bound the extra requests of the whole fleet to one service:
+	// per request, and besides.
+	RetryRatio float64
+	RetrySlack float64
+	// ColdOverage and ColdSlack bound the requests per second of the whole fleet to a cold upstream:
+	// per request that it bears, and besides.
+	ColdOverage float64
+	ColdSlack   float64
+}
+
+// State holds what a daemon knows and what it is doing. It changes in place and has one owner.
+type State struct {
+	settings      Settings
+	random        *rand.Rand
+	configuration *cataloger.Configuration
+	upstreams     map[string]*upstream
+	services      map[string][]*upstream
+	evacuated     map[string]bool
+	peers         map[string]*peer
+	fleet         fleet
+	queries       map[uint64]*query
+	attempts      map[uint64]*attempt
+	lastAttempt   uint64
+	wakes         wakes
+	budgets       map[string]hedger.Budget
+	splits        map[string]*split
+	deadlines     map[string]*commonDeadline
+	priors        map[priorKey]*balancer.Stat
+	effects       []Effect
+}
+
+// upstream is an upstream with what is known of it.
+type upstream struct {
+	cataloger.Upstream
+	stat *balancer.Stat
+	cold coldAllowance
+	// misdirected says that another process answered at the address.
+	misdirected bool
+}
+
+// peer is another daemon with what is known of it.
+type peer struct {
+	cataloger.Member
+	stat *balancer.Stat
+}
+
+// New returns a State that knows no configuration, no upstreams and no daemons.
+func New(s Settings) *State {
+	return &State{
+		settings:  s,
+		random:    rand.New(rand.NewPCG(s.Seed, 1)),
+		upstreams: make(map[string]*upstream),
+		services:  make(map[string][]*upstream),
+		evacuated: make(map[string]bool),
+		peers:     make(map[string]*peer),
+		queries:   make(map[uint64]*query),
+		attempts:  make(map[uint64]*attempt),
+		budgets:   make(map[string]hedger.Budget),
+		splits:    make(map[string]*split),
+		deadlines: make(map[string]*commonDeadline),
+		priors:    make(map[priorKey]*balancer.Stat),
+	}
+}
+
+// Step changes the state by an event and returns the effects, in the order in which they are due.
+// now must not go back.
+func (s *State) Step(now tiller.Millis, e Event) []Effect {
+	s.effects = nil
+	switch e := e.(type) {
+	case QueryArrived:
+		s.arrive(now, e)
+	case SubQueryArrived:
+		s.arriveSub(now, e)
+	case QueryAbandoned:
+		s.abandon(now, e.Query)
+	case AttemptEnded:
+		s.endAttempt(now, e)
+	case SubQueryEnded:
+		s.endSubQuery(now, e)
+	case ConfigurationChanged:
+		s.adopt(e.Configuration)
+	case UpstreamChanged:
+		s.changeUpstream(now, e.Upstream)
+	case UpstreamGone:
+		s.removeUpstream(e.ID)
+	case MembersChanged:
+		s.changeMembers(now, e.Members)
+	case DomainEvacuated:
+		s.evacuate(e)
+	case TimerFired:
+		s.wake(now)
+	}
+	return s.effects
+}
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+// Version returns the version of the configuration in force; 0 when there is none.
+func (s *State) Version() int64 {
+	if s.configuration == nil {
+		return 0
+	}
+	return s.configuration.Version
+}
+
+// Configuration returns the configuration in force; nil when there is none.
+func (s *State) Configuration() *cataloger.Configuration { return s.configuration }
+
+// adopt brings a configuration into force. An older one than that in force is ignored, because
+// the store's answers may cross.
+func (s *State) adopt(c *cataloger.Configuration) {
+	if s.configuration != nil && c.Version <= s.configuration.Version {
+		return
+	}
+	s.configuration = c
+}
+
+func (s *State) changeUpstream(now tiller.Millis, u cataloger.Upstream) {
+	old, ok := s.upstreams[u.ID]
+	if ok && old.Service == u.Service && old.Address == u.Address && old.Born == u.Born {
+		old.misdirected = old.misdirected && old.Upstream.Same(u)
+		old.Upstream = u
+		old.cold.until = coldUntil(now, old.cold.until, u.Cold)
+		return
+	}
+	if ok {
+		s.removeUpstream(u.ID)
+	}
+	added := &upstream{Upstream: u, stat: balancer.New()}
+	added.cold.until = coldUntil(now, 0, u.Cold)
+	s.upstreams[u.ID] = added
+	s.services[u.Service] = append(s.services[u.Service], added)
+}
+
+func (s *State) removeUpstream(id string) {
+	u, ok := s.upstreams[id]
+	if !ok {
+		return
+	}
+	delete(s.upstreams, id)
+	kept := make([]*upstream, 0, len(s.services[u.Service]))
+	for _, other := range s.services[u.Service] {
+		if other != u {
+			kept = append(kept, other)
+		}
+	}
+	s.services[u.Service] = kept
+}
+
+func (s *State) evacuate(e DomainEvacuated) {
+	if e.Out {
+		s.evacuated[e.Domain] = true
+		return
+	}
+	delete(s.evacuated, e.Domain)
+}
+
+// Upstreams returns the number of upstreams that have an entry.
+func (s *State) Upstreams() int { return len(s.upstreams) }
+
+// Busy returns the number of queries that are not answered.
+func (s *State) Busy() int { return len(s.queries) }
--- /dev/null
+++ b/gatherer/subquery.go
@@ -0,0 +1,126 @@
+package gatherer
+
+import (
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/merger"
+)
+
+// endSubQuery takes the outcome of a sub-query to another daemon.
+func (s *State) endSubQuery(now tiller.Millis, e SubQueryEnded) {
+	a, ok := s.attempts[e.Attempt]
+	if !ok {
+		return
+	}
+	delete(s.attempts, e.Attempt)
+	s.measurePeer(now, a, e)
+	q := a.query
+	for _, sh := range a.shards {
+		sh.outstanding--
+	}
+	if q.ended {
+		return
+	}
+	if e.Failure == nil && !e.Reply.NoCapacity && !isComplete(a, e.Reply) {
+		e.Failure = tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonMismatch, nil)
+	}
+	if e.Failure != nil || e.Reply.NoCapacity {
+		s.replaceSubQuery(now, a, e)
+		return
+	}
+	acceptReply(a, e.Reply)
+	s.evaluate(now, q)
+}
+
+func (s *State) measurePeer(now tiller.Millis, a *attempt, e SubQueryEnded) {
+	stat := a.peer.stat
+	switch {
+	case e.Failure == nil && e.Reply.NoCapacity:
+		stat.Shed(now, a.id)
+	case e.Failure == nil:
+		stat.Answered(now, a.id, 0)
+	case e.Failure.Reason == tiller.ReasonCancelled || e.Failure.Reason == tiller.ReasonTimeout:
+		stat.Abandoned(now, a.id)
+	default:
+		stat.Failed(now, a.id)
+	}
+}
+
+// acceptReply takes the parts of a reply. Its records are merged and cannot be taken apart, so a
+// part that came directly meanwhile gives way to that of the reply.
+func acceptReply(a *attempt, r SubReply) {
+	q := a.query
+	byName := make(map[string]*shard, len(a.shards))
+	for _, sh := range a.shards {
+		byName[sh.service] = sh
+	}
+	for _, p := range r.Parts {
+		sh := byName[p.Shard]
+		if sh.status == shardLost {
+			q.lost--
+		}
+		if sh.status != shardDone {
+			sh.status = shardDone
+			q.done++
+		}
+		sh.stamp, sh.records = p.Stamp, nil
+	}
+	q.merged = append(q.merged, r.Records)
+	for _, m := range r.Missing {
+		sh, ok := byName[m.Shard]
+		if !ok || sh.status != shardOpen {
+			continue
+		}
+		sh.ran += m.Attempts
+		sh.reason = m.Reason
+		if sh.outstanding == 0 {
+			sh.lose(m.Reason)
+		}
+	}
+}
+
+// isComplete says whether every shard of a reply was asked for, and each once.
+func isComplete(a *attempt, r SubReply) bool {
+	open := make(map[string]bool, len(a.shards))
+	for _, sh := range a.shards {
+		open[sh.service] = true
+	}
+	for _, p := range r.Parts {
+		if !open[p.Shard] || p.Stamp == "" {
+			return false
+		}
+		delete(open, p.Shard)
+	}
+	return len(r.Records)%merger.RecordBytes == 0
+}
+
+// replaceSubQuery asks directly for the shards of a sub-query that failed.
+func (s *State) replaceSubQuery(now tiller.Millis, a *attempt, e SubQueryEnded) {
+	reason := tiller.ReasonShed
+	ran := 0
+	if e.Failure != nil {
+		reason = e.Failure.Reason
+		if e.Failure.Verdict != tiller.NotRun {
+			ran = 1
+		}
+	}
+	a.query.note(now, a, reason)
+	for _, sh := range a.shards {
+		sh.ran += ran
+		if sh.status == shardOpen && sh.outstanding == 0 {
+			s.restart(now, sh, reason)
+		}
+	}
+	s.evaluate(now, a.query)
+}
+
+// restart asks directly for a shard that a sub-query did not bring. It is the first request of
+// this daemon, but it counts as extra where the other daemon may have sent one.
+func (s *State) restart(now tiller.Millis, sh *shard, reason tiller.Reason) {
+	if sh.ran == 0 && !sh.asked {
+		s.sendFirst(now, sh)
+		return
+	}
+	if !s.retry(now, sh, reason) {
+		sh.lose(reason)
+	}
+}
--- a/hedger/budget.go
+++ b/hedger/budget.go
@@ -45,3 +45,16 @@
 	b.tokens -= n * hundredths
 	return b
 }
+
+// WithBurst returns b with another bound of the extra requests that it holds.
+func (b Budget) WithBurst(burst int) Budget {
+	b.limit = max(burst, 0) * hundredths
+	b.tokens = min(b.tokens, b.limit)
+	return b
+}
+
+// WithGain returns b after it was given n extra requests at once.
+func (b Budget) WithGain(n int) Budget {
+	b.tokens = min(b.tokens+n*hundredths, b.limit)
+	return b
+}
--- /dev/null
+++ b/merger/records.go
@@ -0,0 +1,64 @@
+package merger
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+)
+
+// RecordBytes is the size of a record. Records are compared byte by byte.
+const RecordBytes = 16
+
+// Records holds the greatest records of the parts added so far. It changes in place and has one owner.
+type Records struct {
+	limit int
+	top   []record
+}
+
+// record is a record in two halves, big-endian, so that comparing the halves compares the bytes.
+type record struct{ high, low uint64 }
+
+// NewRecords returns an empty Records that keeps at most limit records.
+func NewRecords(limit int) *Records { return &Records{limit: max(limit, 0)} }
+
+// Add merges the records of a part, which may be in any order. A remainder shorter than a record
+// is ignored. Equal records all count.
+func (r *Records) Add(part []byte) {
+	full := len(r.top) >= r.limit
+	for ; len(part) >= RecordBytes; part = part[RecordBytes:] {
+		next := record{binary.BigEndian.Uint64(part), binary.BigEndian.Uint64(part[8:])}
+		if full && (r.limit == 0 || compareRecords(next, r.top[r.limit-1]) >= 0) {
+			continue
+		}
+		r.top = append(r.top, next)
+	}
+	slices.SortFunc(r.top, compareRecords)
+	if len(r.top) > r.limit {
+		r.top = r.top[:r.limit]
+	}
+}
+
+// compareRecords orders greater records first.
+func compareRecords(a, b record) int {
+	if c := cmp.Compare(b.high, a.high); c != 0 {
+		return c
+	}
+	return cmp.Compare(b.low, a.low)
+}
+
+// Bytes returns the records, greatest first.
+func (r *Records) Bytes() []byte {
+	out := make([]byte, 0, len(r.top)*RecordBytes)
+	for _, next := range r.top {
+		out = binary.BigEndian.AppendUint64(out, next.high)
+		out = binary.BigEndian.AppendUint64(out, next.low)
+	}
+	return out
+}
+
+// Top returns the greatest records of a part, at most limit, greatest first.
+func Top(part []byte, limit int) []byte {
+	r := NewRecords(limit)
+	r.Add(part)
+	return r.Bytes()
+}
--- a/reason.go
+++ b/reason.go
@@ -8,6 +8,9 @@
 const (
 	ReasonBadRequest       Reason = "BadRequest"
 	ReasonUnknownService   Reason = "UnknownService"
+	ReasonUnknownRoute     Reason = "UnknownRoute"
+	ReasonTooLarge         Reason = "TooLarge"
+	ReasonTooSlow          Reason = "TooSlow"
 	ReasonDeadlinePast     Reason = "DeadlinePast"
 	ReasonDeadlineTooShort Reason = "DeadlineTooShort"
 	ReasonQueueFull        Reason = "QueueFull"
@@ -45,18 +48,20 @@
 	ReasonLeaseExpired   Reason = "LeaseExpired"
 	ReasonRetryBudget    Reason = "RetryBudget"
 	ReasonHedgeLost      Reason = "HedgeLost"
+	ReasonHedge          Reason = "Hedge"
+	ReasonMisdirected    Reason = "Misdirected"
 )
 
 // Reasons returns every Reason of the closed list.
 func Reasons() []Reason {
 	return []Reason{
-		ReasonBadRequest, ReasonUnknownService, ReasonDeadlinePast, ReasonDeadlineTooShort,
+		ReasonBadRequest, ReasonUnknownService, ReasonUnknownRoute, ReasonTooLarge, ReasonTooSlow, ReasonDeadlinePast, ReasonDeadlineTooShort,
 		ReasonQueueFull, ReasonQueueTimeout, ReasonCoverageTooLow, ReasonHarmful,
 		ReasonNoOwner, ReasonNotOwner, ReasonOwnerLost, ReasonStopping, ReasonNotReady,
 		ReasonDuplicateID, ReasonTokenRequired, ReasonTokenUnknown, ReasonTokenExpired,
 		ReasonTokenIssuerGone, ReasonTokenInUse, ReasonCancelled, ReasonInternal,
 		ReasonTimeout, ReasonShed, ReasonDraining, ReasonNoSnapshot, ReasonNoShard,
 		ReasonNoUpstream, ReasonUpstreamError, ReasonConnectFailed, ReasonConnectionLost,
-		ReasonSilent, ReasonMismatch, ReasonLeaseExpired, ReasonRetryBudget, ReasonHedgeLost,
+		ReasonSilent, ReasonMismatch, ReasonLeaseExpired, ReasonRetryBudget, ReasonHedgeLost, ReasonHedge, ReasonMisdirected,
 	}
 }
