--- a/follower/follower.go
+++ b/follower/follower.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// watchMillis is the time that one watch waits. Each watch is a priced call.
-	watchMillis = 10 * tiller.Second
+	// watchMillis is the time that one watch waits. Each watch is a priced call; a watch that was
+	// cut without notice is found when it ends, which must be within the time to notice a change.
+	watchMillis = 3500 * tiller.Millis(1)
 	// gatherMillis is the pause between two watches, in which changes gather that come in a row.
 	// It is far below the times in which changes must be in force.
 	gatherMillis = 150
--- a/gatherer/evaluate.go
+++ b/gatherer/evaluate.go
@@ -89,7 +89,7 @@
 
 func (s *State) replySub(now tiller.Millis, q *query) {
 	parts, records := q.assemble()
-	r := SubReply{Parts: parts, Records: records}
+	r := SubReply{Parts: parts, Records: records, Took: now - q.arrived}
 	for _, sh := range q.shards {
 		if sh.status == shardDone {
 			continue
--- a/gatherer/fleet.go
+++ b/gatherer/fleet.go
@@ -44,7 +44,7 @@
 		}
 		p, ok := s.peers[m.VM]
 		if !ok || p.Incarnation != m.Incarnation || p.Address != m.Address {
-			p = &peer{stat: balancer.New()}
+			p = &peer{stat: balancer.New(), way: peerWayMillis}
 		}
 		p.Member = m
 		peers[m.VM] = p
--- a/gatherer/hedge.go
+++ b/gatherer/hedge.go
@@ -13,8 +13,11 @@
 	hedgeSlackMillis = 4.0
 	// shedPauseMillis is the wait before an upstream that has turned a request away is asked again.
 	shedPauseMillis = 12
-	// peerMarginMillis is kept for the way of a reply between regions.
-	peerMarginMillis = 24
+	// peerWayMillis is the time that a sub-query and its reply take between regions before any is
+	// measured.
+	peerWayMillis = 45.0
+	// peerMarginMillis is kept for a reply that is late on its way.
+	peerMarginMillis = 6
 	// minPeerMillis is the least time that a daemon gets for a sub-query.
 	minPeerMillis = 30
 )
@@ -34,9 +37,7 @@
 	return now + tiller.Millis(math.Max(high, minHedgeMillis))
 }
 
-// askLate returns the time at which the shards of a sub-query are asked for directly.
-func (s *State) askLate(now tiller.Millis, q *query, p *peer) tiller.Millis {
-	wait := p.stat.High(now, peerPriorMillis) + hedgeSlackMillis
-	rest := float64(q.answerBy-now) - farPriorMillis
-	return now + tiller.Millis(math.Max(math.Min(wait, rest), float64(q.answerBy-now)/2))
+// within returns the time that a daemon has for a sub-query whose reply is to be in time.
+func (q *query) within(now tiller.Millis, p *peer) tiller.Millis {
+	return max(q.answerBy-now-tiller.Millis(p.way)-peerMarginMillis, minPeerMillis)
 }
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -129,17 +129,15 @@
 	s.attempts[a.id] = a
 	q.attempts = append(q.attempts, a.id)
 	names := make([]string, 0, len(shards))
-	late := s.askLate(now, q, p)
 	for _, sh := range shards {
 		names = append(names, sh.service)
 		sh.outstanding++
-		sh.hedgeAt = late
 	}
 	q.sent++
 	p.stat.Sent(now, a.id)
 	s.emit(Ask{
 		Query: q.id, Attempt: a.id, Member: p.Member, Route: q.route.Name, Shards: names, TopK: q.route.TopK,
 		Attempts: q.route.Attempts, Regions: q.route.Regions,
-		Within: max(q.answerBy-now-peerMarginMillis, minPeerMillis), Left: q.end - now,
+		Within: q.within(now, p), Left: q.end - now,
 	})
 }
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -59,6 +59,8 @@
 type peer struct {
 	cataloger.Member
 	stat *balancer.Stat
+	// way is the moving average of the time that a sub-query and its reply are on their way.
+	way float64
 }
 
 // New returns a State that knows no configuration, no upstreams and no daemons.
--- a/gatherer/subquery.go
+++ b/gatherer/subquery.go
@@ -5,6 +5,9 @@
 	"github.com/carawaytiller/carawaytiller/merger"
 )
 
+// waySmoothing is the weight of a new sample in the average time on the way.
+const waySmoothing = 0.1
+
 // endSubQuery takes the outcome of a sub-query to another daemon.
 func (s *State) endSubQuery(now tiller.Millis, e SubQueryEnded) {
 	a, ok := s.attempts[e.Attempt]
@@ -27,7 +30,7 @@
 		s.replaceSubQuery(now, a, e)
 		return
 	}
-	acceptReply(a, e.Reply)
+	s.acceptReply(now, a, e.Reply)
 	s.evaluate(now, q)
 }
 
@@ -38,6 +41,8 @@
 		stat.Shed(now, a.id)
 	case e.Failure == nil:
 		stat.Answered(now, a.id, 0)
+		way := float64(max(now-a.sent-e.Reply.Took, 0))
+		a.peer.way += waySmoothing * (way - a.peer.way)
 	case e.Failure.Reason == tiller.ReasonCancelled || e.Failure.Reason == tiller.ReasonTimeout:
 		stat.Abandoned(now, a.id)
 	default:
@@ -47,7 +52,7 @@
 
 // acceptReply takes the parts of a reply. Its records are merged and cannot be taken apart, so a
 // part that came directly meanwhile gives way to that of the reply.
-func acceptReply(a *attempt, r SubReply) {
+func (s *State) acceptReply(now tiller.Millis, a *attempt, r SubReply) {
 	q := a.query
 	byName := make(map[string]*shard, len(a.shards))
 	for _, sh := range a.shards {
@@ -73,7 +78,7 @@
 		sh.ran += m.Attempts
 		sh.reason = m.Reason
 		if sh.outstanding == 0 {
-			sh.lose(m.Reason)
+			s.restart(now, sh, m.Reason)
 		}
 	}
 }
@@ -100,7 +105,8 @@
 	if e.Failure != nil {
 		reason = e.Failure.Reason
 		if e.Failure.Verdict != tiller.NotRun {
-			ran = 1
+			// The other daemon may have asked as many upstreams as the route allows.
+			ran = a.query.route.Attempts
 		}
 	}
 	a.query.note(now, a, reason)
