--- a/balancer/stat.go
+++ b/balancer/stat.go
@@ -28,6 +28,10 @@
 	// overdueFactor is the multiple of the expected time after which an outstanding request
 	// counts as a sign that its upstream is stalled.
 	overdueFactor = 2.0
+	// clipFactor and clipMillis bound a sample by the mean before: one pause says little about the
+	// next request, and an upstream that turned slow is known after a few samples all the same.
+	clipFactor = 3.0
+	clipMillis = 20.0
 )
 
 // Stat is what one daemon has measured of one upstream. It changes in place and has one owner.
@@ -89,6 +93,7 @@
 	if s.updated == 0 {
 		s.mean, s.deviation = took, took/2
 	} else {
+		took = math.Min(took, clipFactor*s.mean+clipMillis)
 		s.deviation += smoothing * (math.Abs(took-s.mean) - s.deviation)
 		s.mean += smoothing * (took - s.mean)
 	}
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -44,9 +44,7 @@
 	case e.Failure == nil && e.Answer.Status >= http.StatusInternalServerError:
 		stat.Failed(now, a.id)
 	case e.Failure == nil:
-		p := s.prior(a.upstream, a.query)
-		p.Sent(a.sent, a.id)
-		p.Answered(now, a.id, 0)
+		s.prior(a.upstream, a.query).Record(now, now-a.sent)
 		stat.Answered(now, a.id, e.Answer.Waiting)
 	case e.Failure.Reason == tiller.ReasonCancelled || e.Failure.Reason == tiller.ReasonTimeout:
 		stat.Abandoned(now, a.id)
--- a/gatherer/choose.go
+++ b/gatherer/choose.go
@@ -4,7 +4,7 @@
 	"math"
 
 	tiller "github.com/carawaytiller/carawaytiller"
-	"github.com/carawaytiller/carawaytiller/balancer"
+	"github.com/carawaytiller/carawaytiller/hedger"
 )
 
 const (
@@ -18,6 +18,9 @@
 	peerPriorMillis = 75.0
 	// noisePart spreads requests over candidates whose costs are about equal.
 	noisePart = 0.15
+	// crowdedMillis is the cost of a request beyond this daemon's share of the connections of an
+	// upstream, which may reset a further one.
+	crowdedMillis = 60.0
 	// minConnections is the number of requests that a daemon may have outstanding at an upstream
 	// even when the fleet is large.
 	minConnections = 2
@@ -25,34 +28,29 @@
 	minGroup = 2
 )
 
-// priorKey names upstreams with about the same latency: those of one region that answer the shards
-// of queries, or one service's.
-type priorKey struct {
-	region  string
-	service string
-}
+// priorKey names requests with about the same latency: those on one route to one region.
+type priorKey struct{ region, route string }
 
-// prior returns what is known of upstreams like u.
-func (s *State) prior(u *upstream, q *query) *balancer.Stat {
-	key := priorKey{region: u.Region}
-	if q.single() {
-		key.service = u.Service
-	}
+// prior returns the latencies of upstreams like u.
+func (s *State) prior(u *upstream, q *query) *hedger.Latency {
+	key := priorKey{region: u.Region, route: q.route.Name}
 	p, ok := s.priors[key]
 	if !ok {
-		p = balancer.New()
+		p = hedger.NewLatency()
 		s.priors[key] = p
 	}
 	return p
 }
 
-// expected returns the latency of upstreams like u, in milliseconds.
+// expected returns the median latency of upstreams like u, in milliseconds.
 func (s *State) expected(now tiller.Millis, u *upstream, q *query) float64 {
-	first := farPriorMillis
+	if p := s.prior(u, q); p.Known(now) {
+		return float64(p.Median(now))
+	}
 	if u.Region == s.settings.Region {
-		first = nearPriorMillis
+		return nearPriorMillis
 	}
-	return s.prior(u, q).Mean(now, first)
+	return farPriorMillis
 }
 
 // cost ranks an upstream for a query.
@@ -62,6 +60,9 @@
 	if u.Region != s.settings.Region {
 		cost += farPenaltyMillis
 	}
+	if !s.mayCarry(u) {
+		cost += crowdedMillis
+	}
 	return cost
 }
 
@@ -85,7 +86,7 @@
 func (s *State) best(now tiller.Millis, sh *shard, again bool) (near, far candidate) {
 	near.cost, far.cost = math.Inf(1), math.Inf(1)
 	for _, u := range s.services[sh.service] {
-		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || !s.mayCarry(u) || !s.admitsCold(now, u) {
+		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || !s.admitsCold(now, u) {
 			continue
 		}
 		c := candidate{upstream: u, cost: s.cost(now, u, sh.query)}
--- a/gatherer/hedge.go
+++ b/gatherer/hedge.go
@@ -7,10 +7,11 @@
 )
 
 const (
-	// minHedgeMillis is the shortest wait before a second request: shorter waits hit answers on their way.
-	minHedgeMillis = 12.0
-	// hedgeSlackMillis is added to the latency that few answers exceed.
-	hedgeSlackMillis = 4.0
+	// hedgeFactor is the multiple of the median latency that few answers exceed when their upstream
+	// does not pause.
+	hedgeFactor = 2.0
+	// hedgeSlackMillis is added to that, for late timers and short queues.
+	hedgeSlackMillis = 6.0
 	// shedPauseMillis is the wait before an upstream that has turned a request away is asked again.
 	shedPauseMillis = 12
 	// peerWayMillis is the time that a sub-query and its reply take between regions before any is
@@ -28,13 +29,13 @@
 	if !sh.query.route.Repeatable {
 		return 0
 	}
-	high := u.stat.High(now, s.expected(now, u, sh.query)) + hedgeSlackMillis
+	high := hedgeFactor*s.expected(now, u, sh.query) + hedgeSlackMillis
 	near, far := s.best(now, sh, false)
 	if other := cheaper(near, far); other.upstream != nil {
 		rest := float64(sh.query.answerBy-now) - s.expected(now, other.upstream, sh.query) - hedgeSlackMillis
 		high = math.Min(high, math.Max(rest, 1.2*expected))
 	}
-	return now + tiller.Millis(math.Max(high, minHedgeMillis))
+	return now + tiller.Millis(high)
 }
 
 // within returns the time that a daemon has for a sub-query whose reply is to be in time.
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -17,19 +17,19 @@
 	// answerBy is the time at which an answer goes out if its coverage suffices.
 	answerBy tiller.Millis
 	// end is the time at which the client or the operator gives up.
-	end     tiller.Millis
-	shards  []*shard
-	done    int
-	lost    int
-	needed  int
-	sent    int
-	wakeAt  tiller.Millis
-	topK    int
+	end    tiller.Millis
+	shards []*shard
+	done   int
+	lost   int
+	needed int
+	sent   int
+	wakeAt tiller.Millis
+	topK   int
 	// merged holds the records of sub-queries, each merged from several parts.
 	merged   [][]byte
 	attempts []uint64
-	trouble []Trouble
-	ended   bool
+	trouble  []Trouble
+	ended    bool
 }
 
 // shard is the part of a query that one service answers. A query on a plain route has one.
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -42,7 +42,7 @@
 	budgets       map[string]hedger.Budget
 	splits        map[string]*split
 	deadlines     map[string]*commonDeadline
-	priors        map[priorKey]*balancer.Stat
+	priors        map[priorKey]*hedger.Latency
 	effects       []Effect
 }
 
@@ -77,7 +77,7 @@
 		budgets:   make(map[string]hedger.Budget),
 		splits:    make(map[string]*split),
 		deadlines: make(map[string]*commonDeadline),
-		priors:    make(map[priorKey]*balancer.Stat),
+		priors:    make(map[priorKey]*hedger.Latency),
 	}
 }
 
