--- a/executor/executor.go
+++ b/executor/executor.go
@@ -148,6 +148,8 @@
 		x.send(e)
 	case gatherer.Ask:
 		x.ask(e)
+	case gatherer.Warm:
+		go x.client.Warm(e.Upstream.Address, e.Upstream.ID, e.Connections)
 	case gatherer.Cancel:
 		x.cancel(e)
 	case gatherer.Pass:
--- a/executor/peer.go
+++ b/executor/peer.go
@@ -22,7 +22,10 @@
 	Shards   []string
 	TopK     int
 	Attempts int
-	Regions  []string
+	// Extra says that a first request for the shards was sent already, to the upstreams in Avoid.
+	Extra   bool
+	Avoid   []string
+	Regions []string
 	Within   tiller.Millis
 	Left     tiller.Millis
 }
@@ -34,7 +37,7 @@
 func (x *Executor) ask(e gatherer.Ask) {
 	t := x.tickets[e.Query]
 	message := SubQuery{
-		Request: t.request, Route: e.Route, Shards: e.Shards, TopK: e.TopK, Attempts: e.Attempts,
+		Request: t.request, Route: e.Route, Shards: e.Shards, TopK: e.TopK, Attempts: e.Attempts, Extra: e.Extra, Avoid: e.Avoid,
 		Regions: e.Regions, Within: e.Within, Left: e.Left,
 	}
 	ctx := x.begin(e.Attempt, min(e.Left, 2*e.Within+peerGrace))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -121,6 +121,19 @@
 	return resp, nil
 }
 
+// Warm opens connections that later requests with the same address and key use. A connection that
+// cannot be opened is left to those requests, which report it.
+func (c *Client) Warm(address, key string, n int) {
+	r := Request{Address: address, Key: key}
+	for range n {
+		conn, failure := c.open(context.Background(), r)
+		if failure != nil {
+			return
+		}
+		c.put(r, conn, nil)
+	}
+}
+
 func endReason(err error) tiller.Reason {
 	if errors.Is(err, context.DeadlineExceeded) {
 		return tiller.ReasonTimeout
@@ -153,6 +166,11 @@
 		}
 		_ = conn.Close()
 	}
+	return c.open(ctx, r)
+}
+
+// open opens a connection.
+func (c *Client) open(ctx context.Context, r Request) (*connection, *tiller.Failure) {
 	raw, err := c.dial(ctx, r.Address)
 	if err != nil {
 		return nil, tiller.NewFailure(tiller.NotRun, tiller.ReasonConnectFailed, err)
--- a/gatherer/arrive.go
+++ b/gatherer/arrive.go
@@ -51,7 +51,7 @@
 // daemons gather the shards of one configuration whatever each has in force.
 func (s *State) arriveSub(now tiller.Millis, e SubQueryArrived) {
 	q := &query{
-		id: e.Query, clientID: e.ID, version: s.Version(), sub: true, arrived: now,
+		id: e.Query, clientID: e.ID, version: s.Version(), sub: true, extra: e.Extra, arrived: now,
 		answerBy: now + max(e.Within, 1), end: now + max(e.Within, 1),
 		topK: e.TopK,
 	}
@@ -60,6 +60,11 @@
 	q.route.Attempts = max(e.Attempts, 1)
 	q.route.Regions = e.Regions
 	q.addShards(e.Shards)
+	for _, id := range e.Avoid {
+		if u, ok := s.upstreams[id]; ok {
+			q.avoid(u)
+		}
+	}
 	s.queries[q.id] = q
 	s.start(now, q)
 }
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -149,6 +149,11 @@
 func (s *State) sendExtra(now tiller.Millis, sh *shard, u *upstream, reason tiller.Reason) {
 	s.budgets[sh.service] = s.budget(sh.service).WithSpent(1)
 	s.emit(Retried{Query: sh.query.id, Service: sh.service, Upstream: u.ID, Reason: reason})
+	if p := s.peerNear(now, u, sh.query); p != nil {
+		sh.hedgeAt = 0
+		s.ask(now, sh.query, p, []*shard{sh}, 1)
+		return
+	}
 	s.send(now, sh, u)
 }
 
--- a/gatherer/effect.go
+++ b/gatherer/effect.go
@@ -28,11 +28,19 @@
 	Shards   []string
 	TopK     int
 	Attempts int
+	Extra    bool
+	Avoid    []string
 	Regions  []string
 	Within   tiller.Millis
 	Left     tiller.Millis
 }
 
+// Warm opens connections to an upstream, so that first requests do not wait for them.
+type Warm struct {
+	Upstream    cataloger.Upstream
+	Connections int
+}
+
 // Cancel ends an attempt after a delay; the upstream notices that its connection closes.
 type Cancel struct {
 	Attempt uint64
@@ -104,6 +112,7 @@
 
 func (Send) effect()          {}
 func (Ask) effect()           {}
+func (Warm) effect()          {}
 func (Cancel) effect()        {}
 func (Pass) effect()          {}
 func (ReplyGathered) effect() {}
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -33,7 +33,11 @@
 	Shards   []string
 	TopK     int
 	Attempts int
-	Regions  []string
+	// Extra says that the asking daemon has sent a first request for the shards already.
+	Extra bool
+	// Avoid lists upstreams that were asked already.
+	Avoid   []string
+	Regions []string
 	// Within is the time within which the reply is of use.
 	Within tiller.Millis
 	// Deadline is the time that the client still waits.
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -37,7 +37,7 @@
 			}
 			continue
 		}
-		s.ask(now, q, p, groups[p])
+		s.ask(now, q, p, groups[p], q.route.Attempts)
 	}
 }
 
@@ -51,10 +51,7 @@
 func (s *State) bestPeers(now tiller.Millis, q *query) map[string]rankedPeer {
 	best := make(map[string]rankedPeer)
 	for _, p := range s.peers {
-		if p.Region == s.settings.Region || p.Leaving || !q.route.Allows(p.Region) {
-			continue
-		}
-		if p.stat.Stalled(now, peerPriorMillis) {
+		if !s.mayAskPeer(now, p, q) {
 			continue
 		}
 		cost := p.stat.Cost(now, peerPriorMillis, 1) * (1 + noisePart*s.random.Float64())
@@ -65,6 +62,34 @@
 	return best
 }
 
+// mayAskPeer says whether sub-queries of a query may go to another daemon.
+func (s *State) mayAskPeer(now tiller.Millis, p *peer, q *query) bool {
+	if p.Region == s.settings.Region || p.Leaving || !q.route.Allows(p.Region) {
+		return false
+	}
+	return !p.stat.Stalled(now, peerPriorMillis)
+}
+
+// peerNear returns the cheapest daemon of the region of an upstream of another region; nil when
+// it is to be asked directly. Daemons there have warm connections to it.
+func (s *State) peerNear(now tiller.Millis, u *upstream, q *query) *peer {
+	if q.single() || q.extra || u.Region == s.settings.Region {
+		return nil
+	}
+	var best *peer
+	cost := 0.0
+	for _, p := range s.peers {
+		if p.Region != u.Region || !s.mayAskPeer(now, p, q) {
+			continue
+		}
+		c := p.stat.Cost(now, peerPriorMillis, 1) * (1 + noisePart*s.random.Float64())
+		if best == nil || c < cost {
+			best, cost = p, c
+		}
+	}
+	return best
+}
+
 // peerFor returns the daemon that gathers a shard for this one; nil when it is asked directly.
 func (s *State) peerFor(now tiller.Millis, sh *shard, peers map[string]rankedPeer) *peer {
 	near, far := s.best(now, sh, false)
@@ -94,7 +119,9 @@
 		return
 	}
 	sh.asked = true
-	s.budgets[sh.service] = s.budget(sh.service).WithFirst(1)
+	if !sh.query.extra {
+		s.budgets[sh.service] = s.budget(sh.service).WithFirst(1)
+	}
 	s.send(now, sh, u)
 }
 
@@ -121,23 +148,28 @@
 	s.emit(Send{Query: q.id, Attempt: a.id, Upstream: u.Upstream, Left: q.end - now, Once: !q.route.Repeatable})
 }
 
-// ask sends a sub-query for several shards to another daemon.
-func (s *State) ask(now tiller.Millis, q *query, p *peer, shards []*shard) {
+// ask sends a sub-query for several shards to another daemon, which may send each to limit upstreams.
+func (s *State) ask(now tiller.Millis, q *query, p *peer, shards []*shard, limit int) {
 	s.lastAttempt++
 	mean := p.stat.Mean(now, peerPriorMillis)
-	a := &attempt{id: s.lastAttempt, query: q, shards: shards, peer: p, sent: now, expected: tiller.Millis(mean)}
+	a := &attempt{
+		id: s.lastAttempt, query: q, shards: shards, peer: p, limit: limit, sent: now, expected: tiller.Millis(mean),
+	}
 	s.attempts[a.id] = a
 	q.attempts = append(q.attempts, a.id)
-	names := make([]string, 0, len(shards))
+	effect := Ask{
+		Query: q.id, Attempt: a.id, Member: p.Member, Route: q.route.Name, TopK: q.topK,
+		Attempts: limit, Regions: q.route.Regions, Within: q.within(now, p), Left: q.end - now,
+	}
 	for _, sh := range shards {
-		names = append(names, sh.service)
-		sh.outstanding++
+		effect.Shards = append(effect.Shards, sh.service)
+		for _, u := range sh.tried {
+			effect.Avoid = append(effect.Avoid, u.ID)
+			effect.Extra = true
+		}
+		sh.outstanding += limit
 	}
 	q.sent++
 	p.stat.Sent(now, a.id)
-	s.emit(Ask{
-		Query: q.id, Attempt: a.id, Member: p.Member, Route: q.route.Name, Shards: names, TopK: q.route.TopK,
-		Attempts: q.route.Attempts, Regions: q.route.Regions,
-		Within: q.within(now, p), Left: q.end - now,
-	})
+	s.emit(effect)
 }
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -12,7 +12,9 @@
 	route    cataloger.Route
 	version  int64
 	// sub says that another daemon asked, for some of the shards.
-	sub     bool
+	sub bool
+	// extra says that the asking daemon has sent first requests for the shards.
+	extra   bool
 	arrived tiller.Millis
 	// answerBy is the time at which an answer goes out if its coverage suffices.
 	answerBy tiller.Millis
@@ -68,6 +70,8 @@
 	shards   []*shard
 	upstream *upstream
 	peer     *peer
+	// limit is the number of upstreams of each shard that a sub-query may be sent to.
+	limit    int
 	sent     tiller.Millis
 	expected tiller.Millis
 }
@@ -98,6 +102,15 @@
 	sh.query.lost++
 }
 
+// avoid marks an upstream as asked by the daemon that sent the sub-query.
+func (q *query) avoid(u *upstream) {
+	for _, sh := range q.shards {
+		if sh.service == u.Service {
+			sh.tried = append(sh.tried, u)
+		}
+	}
+}
+
 // hasTried says whether an upstream was asked.
 func (sh *shard) hasTried(u *upstream) bool {
 	for _, other := range sh.tried {
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -9,6 +9,9 @@
 	"github.com/carawaytiller/carawaytiller/hedger"
 )
 
+// warmConnections is the number of connections that are opened to a new upstream of the own region.
+const warmConnections = 2
+
 // Settings are fixed for the life of a State.
 type Settings struct {
 	VM     string
@@ -149,6 +152,9 @@
 	added.cold.until = coldUntil(now, 0, u.Cold)
 	s.upstreams[u.ID] = added
 	s.services[u.Service] = append(s.services[u.Service], added)
+	if u.Region == s.settings.Region && !u.Draining {
+		s.emit(Warm{Upstream: u, Connections: warmConnections})
+	}
 }
 
 func (s *State) removeUpstream(id string) {
--- a/gatherer/subquery.go
+++ b/gatherer/subquery.go
@@ -18,7 +18,7 @@
 	s.measurePeer(now, a, e)
 	q := a.query
 	for _, sh := range a.shards {
-		sh.outstanding--
+		sh.outstanding -= a.limit
 	}
 	if q.ended {
 		return
@@ -106,7 +106,7 @@
 		reason = e.Failure.Reason
 		if e.Failure.Verdict != tiller.NotRun {
 			// The other daemon may have asked as many upstreams as the route allows.
-			ran = a.query.route.Attempts
+			ran = a.limit
 		}
 	}
 	a.query.note(now, a, reason)
@@ -122,7 +122,7 @@
 // restart asks directly for a shard that a sub-query did not bring. It is the first request of
 // this daemon, but it counts as extra where the other daemon may have sent one.
 func (s *State) restart(now tiller.Millis, sh *shard, reason tiller.Reason) {
-	if sh.ran == 0 && !sh.asked {
+	if sh.ran == 0 && !sh.asked && len(sh.tried) == 0 {
 		s.sendFirst(now, sh)
 		return
 	}
--- a/receiver/peer.go
+++ b/receiver/peer.go
@@ -29,7 +29,7 @@
 		m.Request.Header = make(http.Header)
 	}
 	t := h.executor.SubmitSub(m.Request, gatherer.SubQueryArrived{
-		Route: m.Route, Shards: m.Shards, TopK: m.TopK, Attempts: m.Attempts, Regions: m.Regions,
+		Route: m.Route, Shards: m.Shards, TopK: m.TopK, Attempts: m.Attempts, Extra: m.Extra, Avoid: m.Avoid, Regions: m.Regions,
 		Within: m.Within, Deadline: m.Left,
 	})
 	select {
