--- a/balancer/stat.go
+++ b/balancer/stat.go
@@ -25,6 +25,8 @@
 	failureMillis = 400.0
 	// outcomeHalfLife is the half-life in milliseconds of the shares shed and failed.
 	outcomeHalfLife = 1500.0
+	// pauseMillis is longer than upstreams pause for a moment.
+	pauseMillis = 350.0
 	// overdueFactor is the multiple of the expected time after which an outstanding request
 	// counts as a sign that its upstream is stalled.
 	overdueFactor = 2.0
@@ -77,16 +79,21 @@
 	s.judge(now, 0, 1)
 }
 
-// Abandoned records that a request was given up; the time it took so far is a lower bound.
+// Abandoned records that a request was given up. The time that it took so far is a lower bound, and
+// one that a pause does not explain counts as a failure.
 func (s *Stat) Abandoned(now tiller.Millis, attempt uint64) {
 	sent, ok := s.outstanding[attempt]
 	if !ok {
 		return
 	}
 	delete(s.outstanding, attempt)
-	if took := float64(now - sent); took > s.mean {
+	took := float64(now - sent)
+	if took > s.mean {
 		s.sample(now, took)
 	}
+	if took > pauseMillis {
+		s.judge(now, 0, 1)
+	}
 }
 
 func (s *Stat) sample(now tiller.Millis, took float64) {
--- a/executor/peer.go
+++ b/executor/peer.go
@@ -26,6 +26,7 @@
 	Extra   bool
 	Avoid   []string
 	Regions []string
+	MaySkip int
 	Within   tiller.Millis
 	Left     tiller.Millis
 }
@@ -38,9 +39,9 @@
 	t := x.tickets[e.Query]
 	message := SubQuery{
 		Request: t.request, Route: e.Route, Shards: e.Shards, TopK: e.TopK, Attempts: e.Attempts, Extra: e.Extra, Avoid: e.Avoid,
-		Regions: e.Regions, Within: e.Within, Left: e.Left,
+		Regions: e.Regions, MaySkip: e.MaySkip, Within: e.Within, Left: e.Left,
 	}
-	ctx := x.begin(e.Attempt, min(e.Left, 2*e.Within+peerGrace))
+	ctx := x.begin(e.Attempt, e.Left+peerGrace)
 	go func() {
 		reply, failure := x.askPeer(ctx, e.Member.Address, message)
 		x.mu.Lock()
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -22,12 +22,14 @@
 	// watchMillis is the time that one watch waits. Each watch is a priced call; a watch that was
 	// cut without notice is found when it ends, which must be within the time to notice a change.
 	watchMillis = 3500 * tiller.Millis(1)
+	// probeMillis is the wait of the first watch after the store was lost.
+	probeMillis = 1
 	// gatherMillis is the pause between two watches, in which changes gather that come in a row.
 	// It is far below the times in which changes must be in force.
 	gatherMillis = 150
 	// retryMillis and maxRetryMillis bound the pause after a failed call.
 	retryMillis    = 100
-	maxRetryMillis = 800
+	maxRetryMillis = 400
 	// returnMillis is the time after the return of the store within which upstreams that live
 	// have entered themselves again. The platform names about two seconds.
 	returnMillis = 2200
@@ -126,6 +128,10 @@
 
 // watchTime is shorter while upstreams are missing, so that they are given up in time.
 func (f *Follower) watchTime() tiller.Millis {
+	if f.failing {
+		// An immediate answer shows sooner than a waiting watch that the store is back.
+		return probeMillis
+	}
 	wait := watchMillis
 	now := f.clock.Now()
 	for _, at := range f.missing {
--- a/gatherer/arrive.go
+++ b/gatherer/arrive.go
@@ -52,8 +52,8 @@
 func (s *State) arriveSub(now tiller.Millis, e SubQueryArrived) {
 	q := &query{
 		id: e.Query, clientID: e.ID, version: s.Version(), sub: true, extra: e.Extra, arrived: now,
-		answerBy: now + max(e.Within, 1), end: now + max(e.Within, 1),
-		topK: e.TopK,
+		answerBy: now + max(e.Within, 1), end: now + max(e.Within, e.Left, 1),
+		topK: e.TopK, needed: max(len(e.Shards)-e.MaySkip, 0),
 	}
 	q.route.Name = e.Route
 	q.route.Repeatable = true
@@ -77,7 +77,7 @@
 			servable++
 		}
 	}
-	if servable < q.needed {
+	if servable < q.needed && !q.sub {
 		reason := tiller.ReasonCoverageTooLow
 		if q.single() {
 			reason = tiller.ReasonNoUpstream
--- a/gatherer/deadline.go
+++ b/gatherer/deadline.go
@@ -7,8 +7,9 @@
 	answerMarginMillis = 10
 	// newConnectionMillis is the further time that the client has waited for its connection.
 	newConnectionMillis = 7
-	// endMarginMillis is kept so that a failure reaches the client before it gives up.
-	endMarginMillis = 8
+	// endMarginMillis is kept so that a failure reaches the client before it gives up: the ways of
+	// the request and of the answer, and late timers.
+	endMarginMillis = 20
 	// deadlineValues bounds the deadlines that are counted for a route.
 	deadlineValues = 16
 )
--- a/gatherer/effect.go
+++ b/gatherer/effect.go
@@ -31,6 +31,7 @@
 	Extra    bool
 	Avoid    []string
 	Regions  []string
+	MaySkip  int
 	Within   tiller.Millis
 	Left     tiller.Millis
 }
--- a/gatherer/evaluate.go
+++ b/gatherer/evaluate.go
@@ -7,7 +7,9 @@
 
 const (
 	// lingerMillis is the time for which requests stay outstanding after their query was answered.
-	lingerMillis = 250
+	// An upstream that pauses answers within it, and keeps its connection; one that is silent is
+	// told apart. It is below the half second after which work for clients that left is unwanted.
+	lingerMillis = 400
 	// minUsefulMillis is the shortest time in which a further request can be of use.
 	minUsefulMillis = 5
 	// maxTrouble bounds the outcomes that are kept for the log of one query.
@@ -23,11 +25,11 @@
 		s.hedge(now, q)
 	}
 	switch {
-	case q.open() == 0 && q.done >= max(q.needed, 1) || q.open() == 0 && q.sub:
+	case (q.open() == 0 || now >= q.answerBy) && q.done >= q.needed:
 		s.reply(now, q)
-	case now >= q.answerBy && q.done >= max(q.needed, 1) || now >= q.end && q.sub:
+	case q.sub && (q.open() == 0 || now >= q.end || q.done+q.open() < q.needed):
 		s.reply(now, q)
-	case q.done+q.open() < max(q.needed, 1):
+	case q.done+q.open() < q.needed:
 		s.refuse(now, q, s.refusalReason(q), retryAfterMillis)
 	case now >= q.end:
 		s.refuse(now, q, tiller.ReasonTimeout, 0)
@@ -94,7 +96,7 @@
 		if sh.status == shardDone {
 			continue
 		}
-		r.Missing = append(r.Missing, MissingShard{Shard: sh.service, Reason: sh.reason, Attempts: sh.ran + sh.outstanding})
+		r.Missing = append(r.Missing, MissingShard{Shard: sh.service, Reason: sh.reason, Attempts: sh.ran + sh.outstanding, Asked: sh.asked})
 	}
 	s.emit(ReplySub{Query: q.id, Reply: r, Decision: q.decision(now)})
 	s.finish(q, lingerMillis)
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -38,10 +38,12 @@
 	// Avoid lists upstreams that were asked already.
 	Avoid   []string
 	Regions []string
-	// Within is the time within which the reply is of use.
+	// MaySkip is the number of shards without which the whole answer still has enough coverage.
+	MaySkip int
+	// Within is the time after which the reply is due if no more than MaySkip shards are missing.
 	Within tiller.Millis
-	// Deadline is the time that the client still waits.
-	Deadline tiller.Millis
+	// Left is the time after which no reply is of use.
+	Left tiller.Millis
 }
 
 // QueryAbandoned says that the client or the asking daemon has closed its connection.
@@ -133,4 +135,6 @@
 	Reason tiller.Reason
 	// Attempts is the number of upstreams that may have run the request.
 	Attempts int
+	// Asked says that a request was sent, whether it ran or not.
+	Asked bool
 }
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -159,7 +159,8 @@
 	q.attempts = append(q.attempts, a.id)
 	effect := Ask{
 		Query: q.id, Attempt: a.id, Member: p.Member, Route: q.route.Name, TopK: q.topK,
-		Attempts: limit, Regions: q.route.Regions, Within: q.within(now, p), Left: q.end - now,
+		Attempts: limit, Regions: q.route.Regions, MaySkip: len(q.shards) - q.needed,
+		Within: q.within(now, p), Left: max(q.end-now-tiller.Millis(p.way/2), minPeerMillis),
 	}
 	for _, sh := range shards {
 		effect.Shards = append(effect.Shards, sh.service)
--- a/gatherer/subquery.go
+++ b/gatherer/subquery.go
@@ -76,6 +76,7 @@
 			continue
 		}
 		sh.ran += m.Attempts
+		sh.asked = sh.asked || m.Asked
 		sh.reason = m.Reason
 		if sh.outstanding == 0 {
 			s.restart(now, sh, m.Reason)
--- a/receiver/peer.go
+++ b/receiver/peer.go
@@ -30,7 +30,7 @@
 	}
 	t := h.executor.SubmitSub(m.Request, gatherer.SubQueryArrived{
 		Route: m.Route, Shards: m.Shards, TopK: m.TopK, Attempts: m.Attempts, Extra: m.Extra, Avoid: m.Avoid, Regions: m.Regions,
-		Within: m.Within, Deadline: m.Left,
+		MaySkip: m.MaySkip, Within: m.Within, Left: m.Left,
 	})
 	select {
 	case o := <-t.Done:
