--- /dev/null
+++ b/gatherer/load_test.go
@@ -0,0 +1,219 @@
+package gatherer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/cataloger"
+	"github.com/carawaytiller/carawaytiller/gatherer"
+)
+
+// requireBudget checks the extra arrivals of each service against the operators' budget, in every
+// window that begins with an arrival.
+func (w *world) requireBudget() {
+	for service, arrivals := range w.arrivals {
+		first := make(map[string]bool)
+		extra := make([]bool, len(arrivals))
+		for i, a := range arrivals {
+			extra[i] = first[a.id]
+			first[a.id] = true
+		}
+		for i := range arrivals {
+			extras, firsts := 0, 0
+			for j := i; j < len(arrivals) && arrivals[j].at < arrivals[i].at+budgetMs; j++ {
+				if extra[j] {
+					extras++
+				} else {
+					firsts++
+				}
+			}
+			require.LessOrEqual(w.t, float64(extras), retryRatio*float64(firsts)+retrySlack, "%s from %d", service, arrivals[i].at)
+		}
+	}
+}
+
+// requireAttempts checks that no request ran on more upstreams of a service than the route allows.
+func (w *world) requireAttempts(limit int) {
+	for service, arrivals := range w.arrivals {
+		ran := make(map[string]map[string]bool)
+		for _, a := range arrivals {
+			if !a.ran {
+				continue
+			}
+			if ran[a.id] == nil {
+				ran[a.id] = make(map[string]bool)
+			}
+			ran[a.id][a.upstream] = true
+			require.LessOrEqual(w.t, len(ran[a.id]), limit, "%s of %s", a.id, service)
+		}
+	}
+}
+
+// share returns the share of the queries for which f holds.
+func (w *world) share(f func(*outcome) bool) float64 {
+	n := 0
+	for _, o := range w.outcomes {
+		if f(o) {
+			n++
+		}
+	}
+	return float64(n) / float64(len(w.outcomes))
+}
+
+func inTime(o *outcome) bool { return o.parts >= 18 && o.took <= 200 }
+
+func whole(o *outcome) bool { return inTime(o) && o.missing == 0 }
+
+// Upstreams that pause at different times must not decide the latency of a query: with 57 in 100
+// queries meeting a pause, without second requests fewer than half would be whole in time.
+func TestPausesAreHedged(t *testing.T) {
+	w := newWorld(t, 1)
+	for _, s := range w.servers {
+		s.pauseEvery, s.pause, s.pausePhase = 6000, 250, tiller.Millis(w.random.IntN(6000))
+	}
+	w.load(21000, 90, "/q/1")
+	w.run(24000)
+	require.GreaterOrEqual(t, w.share(inTime), 0.99)
+	require.GreaterOrEqual(t, w.share(whole), 0.9)
+	w.requireBudget()
+	w.requireAttempts(2)
+}
+
+// Half of the upstreams shed most requests with good health. A shard that another daemon could not
+// bring must not be sent again as a first request, outside the budget of the fleet.
+func TestSheddingKeepsTheBudget(t *testing.T) {
+	w := newWorld(t, 2)
+	for _, s := range w.servers {
+		if w.random.Float64() < 0.8 {
+			s.shed = 0.6
+		}
+	}
+	w.load(21000, 90, "/q/1")
+	w.run(24000)
+	w.requireBudget()
+	w.requireAttempts(2)
+}
+
+// Connections are reset after the request ran: a daemon must count that as an attempt, also when
+// the request was sent by another daemon for it.
+func TestResetsKeepTheAttempts(t *testing.T) {
+	w := newWorld(t, 3)
+	for _, s := range w.servers {
+		s.reset = 0.3
+	}
+	w.load(11000, 90, "/q/1")
+	w.run(14000)
+	w.requireAttempts(2)
+	w.requireBudget()
+}
+
+// Daemons die while they gather for others: what they may have asked for counts, and the others
+// serve on.
+func TestDeadDaemonsKeepTheAttempts(t *testing.T) {
+	w := newWorld(t, 4)
+	for _, s := range w.servers {
+		s.pauseEvery, s.pause, s.pausePhase = 3000, 250, tiller.Millis(w.random.IntN(3000))
+	}
+	w.load(11000, 90, "/q/1")
+	for i := range 6 {
+		w.after(tiller.Millis(3000+1000*i), func() { w.kill(w.daemons[i]) })
+	}
+	w.run(14000)
+	w.requireAttempts(2)
+	w.requireBudget()
+	lost := 0
+	for _, o := range w.outcomes {
+		// Requests to the dead daemons get no answer at all here.
+		if o.took > 0 && !inTime(o) {
+			lost++
+		}
+	}
+	require.LessOrEqual(t, float64(lost), 0.1*float64(len(w.outcomes)))
+}
+
+// Upstreams fall silent. After a second, few queries may still wait for them.
+func TestSilentUpstreamsAreAvoided(t *testing.T) {
+	w := newWorld(t, 5)
+	for i := range 8 {
+		w.servers[fmt.Sprintf("u-%d-0", i)].silent = true
+	}
+	w.load(2000, 90, "/q/1")
+	w.run(2000)
+	w.outcomes = make(map[string]*outcome)
+	w.load(12000, 90, "/q/1")
+	w.run(14000)
+	require.GreaterOrEqual(t, w.share(inTime), 0.97)
+	w.requireBudget()
+}
+
+// Slow upstreams must be left alone once that is measured, although they are healthy.
+func TestSlowUpstreamsAreAvoided(t *testing.T) {
+	w := newWorld(t, 6)
+	slow := make(map[string]bool)
+	for i := range 6 {
+		id := fmt.Sprintf("u-%d-1", i*3)
+		w.servers[id].work, slow[id] = 110, true
+	}
+	w.load(12000, 90, "/q/1")
+	w.run(14000)
+	late := 0
+	for id := range slow {
+		for _, at := range w.servers[id].requests {
+			if at > 3000 {
+				late++
+			}
+		}
+	}
+	// Each of six upstreams would get 45 requests a second for 9 seconds.
+	require.Less(t, late, 6*45*9/4)
+	require.GreaterOrEqual(t, w.share(inTime), 0.97)
+}
+
+// When too many shards have no upstream, a query must be refused at once as not run, and not be
+// held until its deadline.
+func TestQueryWithoutCoverageIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, 7)
+	for i := range 3 {
+		w.tell(gatherer.UpstreamGone{ID: fmt.Sprintf("u-%d-0", i)})
+		w.tell(gatherer.UpstreamGone{ID: fmt.Sprintf("u-%d-1", i)})
+	}
+	id := w.query(w.daemons[0], "/q/1")
+	o := w.outcomes[id]
+	require.NotNil(t, o.refused)
+	require.Equal(t, tiller.NotRun, o.refused.Verdict)
+	require.Equal(t, tiller.ReasonCoverageTooLow, o.refused.Reason)
+	require.Positive(t, o.refused.RetryAfter)
+	w.run(5000)
+	require.Empty(t, w.arrivals)
+}
+
+// A cold upstream must get no more requests a second from all daemons together than it bears.
+func TestColdUpstreamsGetTheirAllowance(t *testing.T) {
+	for _, warmup := range []float64{0, 20} {
+		w := newWorld(t, 8)
+		services := []cataloger.Service{{Name: shardName(0), MaxConnections: 26, WarmupPerSecond: warmup}}
+		w.tell(gatherer.ConfigurationChanged{Configuration: cataloger.New(2, cataloger.Limits{}, []cataloger.Route{w.gatherRoute()}, services)})
+		for j := range 2 {
+			s := w.servers[fmt.Sprintf("u-0-%d", j)]
+			s.Cold = 8000
+			w.tell(gatherer.UpstreamChanged{Upstream: s.Upstream})
+		}
+		w.load(9000, 90, "/q/1")
+		w.run(9000)
+		for j := range 2 {
+			requests := w.servers[fmt.Sprintf("u-0-%d", j)].requests
+			for i := range requests {
+				n := 0
+				for _, at := range requests[i:] {
+					if at < requests[i]+1000 {
+						n++
+					}
+				}
+				require.LessOrEqual(t, float64(n), warmup*coldOverage+coldSlack)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/gatherer/route_test.go
@@ -0,0 +1,136 @@
+package gatherer_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/cataloger"
+	"github.com/carawaytiller/carawaytiller/gatherer"
+)
+
+func plainRoute(repeatable bool, services ...cataloger.Weighted) cataloger.Route {
+	return cataloger.Route{
+		Name: "fetch", Host: "h", Prefix: "/f/", Repeatable: repeatable, Timeout: 1000, Target: 400, Attempts: 2, Services: services,
+	}
+}
+
+// A request that must not run twice is sent again only after an upstream said that it has not run,
+// and is refused as not run only when that is certain.
+func TestNonRepeatableRequestRunsOnce(t *testing.T) {
+	w := newWorld(t, 1)
+	w.configure(2, plainRoute(false, cataloger.Weighted{Service: shardName(0), Weight: 1}))
+	for _, s := range w.servers {
+		s.reset, s.shed = 0.3, 0.3
+		s.pauseEvery, s.pause = 2000, 1200
+	}
+	w.load(11000, 50, "/f/1")
+	w.run(14000)
+	ran := make(map[string]int)
+	for _, a := range w.arrivals[shardName(0)] {
+		if a.ran {
+			ran[a.id]++
+			require.Equal(t, 1, ran[a.id], "%s ran twice", a.id)
+		}
+	}
+	refused := 0
+	for id, o := range w.outcomes {
+		if o.refused != nil && o.refused.Verdict == tiller.NotRun {
+			refused++
+			require.Zero(t, ran[id], "%s was refused as not run", id)
+		}
+	}
+	require.NotZero(t, refused)
+}
+
+// Requests are divided exactly by weight, on each daemon and over the fleet.
+func TestSplitFollowsWeights(t *testing.T) {
+	w := newWorld(t, 2)
+	w.configure(2, plainRoute(true, cataloger.Weighted{Service: shardName(0), Weight: 3}, cataloger.Weighted{Service: shardName(1), Weight: 1}))
+	w.load(9000, 50, "/f/1")
+	w.run(11000)
+	first, second := len(w.arrivals[shardName(0)]), len(w.arrivals[shardName(1)])
+	require.InDelta(t, 0.75, float64(first)/float64(first+second), 0.03)
+}
+
+// An upstream outside the regions that a route allows must get nothing, over other daemons either.
+func TestRegionsOfRouteBind(t *testing.T) {
+	w := newWorld(t, 3)
+	r := w.gatherRoute()
+	r.Regions = []string{"east", "north"}
+	r.MinCoverage = 0.5
+	w.configure(2, r)
+	for _, s := range w.servers {
+		s.pauseEvery, s.pause = 2000, 400
+	}
+	w.load(9000, 50, "/q/1")
+	w.run(11000)
+	for id, s := range w.servers {
+		if s.Region == "west" {
+			require.Empty(t, s.requests, id)
+		}
+	}
+	require.GreaterOrEqual(t, w.share(func(o *outcome) bool { return o.parts >= 10 }), 0.9)
+}
+
+// Upstreams that drain, whose failure domain is out of service, or whose address belongs to another
+// process get no new work.
+func TestUnusableUpstreamsGetNothing(t *testing.T) {
+	w := newWorld(t, 4)
+	w.configure(2, plainRoute(true, cataloger.Weighted{Service: shardName(0), Weight: 1}))
+	draining := w.servers["u-0-0"]
+	draining.Draining = true
+	w.tell(gatherer.UpstreamChanged{Upstream: draining.Upstream})
+	w.load(2000, 50, "/f/1")
+	w.run(3000)
+	require.Empty(t, draining.requests)
+	require.NotEmpty(t, w.servers["u-0-1"].requests)
+
+	w.tell(gatherer.DomainEvacuated{Domain: w.servers["u-0-1"].Domain, Out: true})
+	id := w.query(w.daemons[0], "/f/1")
+	require.Equal(t, tiller.NotRun, w.outcomes[id].refused.Verdict)
+	w.tell(gatherer.DomainEvacuated{Domain: w.servers["u-0-1"].Domain})
+	id = w.query(w.daemons[0], "/f/1")
+	w.run(4000)
+	require.True(t, w.outcomes[id].passed)
+}
+
+// An older configuration that arrives late must not come into force.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	w := newWorld(t, 5)
+	w.configure(7, plainRoute(true, cataloger.Weighted{Service: shardName(0), Weight: 1}))
+	w.configure(6)
+	require.EqualValues(t, 7, w.daemons[0].state.Version())
+	id := w.query(w.daemons[0], "/q/1")
+	require.Equal(t, tiller.ReasonUnknownRoute, w.outcomes[id].refused.Reason)
+}
+
+// A daemon that knows no configuration yet must not deny a route.
+func TestWithoutConfigurationIsNotReady(t *testing.T) {
+	s := gatherer.New(gatherer.Settings{VM: "vm", Region: "east"})
+	effects := s.Step(1000, gatherer.QueryArrived{Query: 1, ID: "a", Host: "h", Path: "/q/1"})
+	require.Len(t, effects, 1)
+	refuse := effects[0].(gatherer.Refuse)
+	require.Equal(t, tiller.ReasonNotReady, refuse.Reason)
+	require.Equal(t, tiller.NotRun, refuse.Verdict)
+}
+
+// A client that leaves must have its requests cancelled at once.
+func TestAbandonedQueryIsCancelled(t *testing.T) {
+	w := newWorld(t, 6)
+	d := w.daemons[0]
+	query := w.queries + 1
+	w.query(d, "/q/1")
+	require.NotEmpty(t, d.sent)
+	effects := d.state.Step(w.now+1, gatherer.QueryAbandoned{Query: query})
+	cancelled := 0
+	for _, e := range effects {
+		if c, ok := e.(gatherer.Cancel); ok {
+			require.Zero(t, c.After)
+			cancelled++
+		}
+	}
+	require.Equal(t, len(d.sent), cancelled)
+	require.Zero(t, d.state.Busy())
+}
--- /dev/null
+++ b/gatherer/world_test.go
@@ -0,0 +1,378 @@
+package gatherer_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/cataloger"
+	"github.com/carawaytiller/carawaytiller/gatherer"
+)
+
+// Bounds of the small deployments, as the operators state them.
+const (
+	retryRatio  = 0.2
+	retrySlack  = 56.0
+	budgetMs    = 10000
+	coldOverage = 1.5
+	coldSlack   = 5.0
+)
+
+// world plays a fleet of daemons and its upstreams in virtual time.
+type world struct {
+	t        *testing.T
+	now      tiller.Millis
+	events   schedule
+	order    int
+	random   *rand.Rand
+	daemons  []*daemon
+	servers  map[string]*server
+	queries  uint64
+	outcomes map[string]*outcome
+	arrivals map[string][]arrival
+}
+
+// daemon is one State with what it has outstanding.
+type daemon struct {
+	vm, region string
+	state      *gatherer.State
+	sent       map[uint64]*sent
+	asker      map[uint64]func(gatherer.SubReply)
+	// subs holds the client's identifier of each sub-query.
+	subs map[uint64]string
+	// reset ends the sub-queries that other daemons have sent here.
+	reset []func()
+	dead bool
+}
+
+// sent is an attempt on its way.
+type sent struct{ abandon func() }
+
+// server is a fake upstream.
+type server struct {
+	cataloger.Upstream
+	work       tiller.Millis
+	busy       []tiller.Millis
+	pauseEvery tiller.Millis
+	pausePhase tiller.Millis
+	pause      tiller.Millis
+	silent     bool
+	shed       float64
+	reset      float64
+	requests   []tiller.Millis
+}
+
+type arrival struct {
+	at       tiller.Millis
+	id       string
+	upstream string
+	ran      bool
+}
+
+// outcome is what a client got.
+type outcome struct {
+	started, took tiller.Millis
+	parts         int
+	missing       int
+	passed        bool
+	refused       *gatherer.Refuse
+}
+
+type scheduled struct {
+	at    tiller.Millis
+	order int
+	run   func()
+}
+
+type schedule []scheduled
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(i, j int) bool {
+	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].order < s[j].order
+}
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *schedule) Push(x any)   { *s = append(*s, x.(scheduled)) }
+func (s *schedule) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+const (
+	regionWay = 20
+	shards    = 20
+	perRegion = 3
+)
+
+var regions = []string{"east", "north", "west"}
+
+// newWorld returns a fleet of three daemons in each of three regions, and twenty shards that each
+// have an upstream in two of the regions.
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{
+		t: t, now: 1000, random: rand.New(rand.NewPCG(seed, 7)), servers: make(map[string]*server),
+		outcomes: make(map[string]*outcome), arrivals: make(map[string][]arrival),
+	}
+	for i := range perRegion * len(regions) {
+		d := &daemon{
+			vm: fmt.Sprintf("vm-%d", i), region: regions[i%len(regions)],
+			sent: make(map[uint64]*sent), asker: make(map[uint64]func(gatherer.SubReply)),
+			subs: make(map[uint64]string),
+		}
+		d.state = gatherer.New(gatherer.Settings{
+			VM: d.vm, Region: d.region, Seed: seed + uint64(i), RetryRatio: retryRatio, RetrySlack: retrySlack,
+			ColdOverage: coldOverage, ColdSlack: coldSlack,
+		})
+		w.daemons = append(w.daemons, d)
+	}
+	for i := range shards {
+		for j := range 2 {
+			region := regions[(i+j)%len(regions)]
+			w.add(&server{Upstream: cataloger.Upstream{
+				ID: fmt.Sprintf("u-%d-%d", i, j), Service: shardName(i), Address: "address", Domain: region + "-a", Region: region, Slots: 2,
+			}, work: 11})
+		}
+	}
+	w.configure(1, w.gatherRoute())
+	var members []cataloger.Member
+	for _, d := range w.daemons {
+		members = append(members, cataloger.Member{VM: d.vm, Address: d.vm, Region: d.region})
+	}
+	w.tell(gatherer.MembersChanged{Members: members})
+	return w
+}
+
+func shardName(i int) string { return fmt.Sprintf("shard-%d", i) }
+
+func (w *world) gatherRoute() cataloger.Route {
+	r := cataloger.Route{
+		Name: "sweep", Host: "h", Prefix: "/q/", Repeatable: true, Timeout: 1000, Target: 200, Attempts: 2,
+		TopK: 5, MinCoverage: 0.89,
+	}
+	for i := range shards {
+		r.Shards = append(r.Shards, shardName(i))
+	}
+	return r
+}
+
+func (w *world) configure(version int64, routes ...cataloger.Route) {
+	services := make([]cataloger.Service, 0, shards)
+	for i := range shards {
+		services = append(services, cataloger.Service{Name: shardName(i), MaxConnections: 26})
+	}
+	w.tell(gatherer.ConfigurationChanged{Configuration: cataloger.New(version, cataloger.Limits{}, routes, services)})
+}
+
+func (w *world) add(s *server) {
+	w.servers[s.ID] = s
+	w.tell(gatherer.UpstreamChanged{Upstream: s.Upstream})
+}
+
+// tell feeds an event to every daemon.
+func (w *world) tell(e gatherer.Event) {
+	for _, d := range w.daemons {
+		w.step(d, e)
+	}
+}
+
+func (w *world) after(delay tiller.Millis, run func()) {
+	w.order++
+	heap.Push(&w.events, scheduled{at: w.now + delay, order: w.order, run: run})
+}
+
+// run plays until a time.
+func (w *world) run(until tiller.Millis) {
+	for len(w.events) > 0 && w.events[0].at <= until {
+		next := heap.Pop(&w.events).(scheduled)
+		w.now = next.at
+		next.run()
+	}
+	w.now = until
+}
+
+func (w *world) step(d *daemon, e gatherer.Event) {
+	if d.dead {
+		return
+	}
+	for _, effect := range d.state.Step(w.now, e) {
+		w.execute(d, effect)
+	}
+	if at, ok := d.state.Next(); ok {
+		w.after(max(at-w.now, 0), func() {
+			if next, ok := d.state.Next(); ok && next <= w.now {
+				w.step(d, gatherer.TimerFired{})
+			}
+		})
+	}
+}
+
+func way(from, to string) tiller.Millis {
+	if from == to {
+		return 1
+	}
+	return regionWay
+}
+
+func (w *world) execute(d *daemon, e gatherer.Effect) {
+	switch e := e.(type) {
+	case gatherer.Send:
+		w.send(d, e)
+	case gatherer.Ask:
+		w.ask(d, e)
+	case gatherer.Cancel:
+		if s := d.sent[e.Attempt]; s != nil {
+			w.after(e.After, s.abandon)
+		}
+	case gatherer.ReplyGathered:
+		w.finish(e.ID, func(o *outcome) { o.parts, o.missing = len(e.Stamps), e.Missing })
+	case gatherer.Pass:
+		w.finish(e.ID, func(o *outcome) { o.passed = true })
+	case gatherer.Refuse:
+		w.finish(e.ID, func(o *outcome) { o.refused = &e })
+	case gatherer.ReplySub:
+		if reply := d.asker[e.Query]; reply != nil {
+			delete(d.asker, e.Query)
+			reply(e.Reply)
+		}
+	}
+}
+
+func (w *world) finish(id string, set func(*outcome)) {
+	if o := w.outcomes[id]; o != nil && o.took == 0 {
+		o.took = max(w.now-o.started, 1)
+		set(o)
+	}
+}
+
+// kill ends a daemon; its connections are reset.
+func (w *world) kill(d *daemon) {
+	d.dead = true
+	for _, reset := range d.reset {
+		w.after(regionWay, reset)
+	}
+}
+
+// query sends a client's request to a daemon and returns its identifier.
+func (w *world) query(d *daemon, path string) string {
+	w.queries++
+	id := fmt.Sprintf("q-%d", w.queries)
+	w.outcomes[id] = &outcome{started: w.now}
+	w.step(d, gatherer.QueryArrived{Query: w.queries, ID: id, Host: "h", Path: path, Deadline: 1000})
+	return id
+}
+
+// load sends perSecond requests to random daemons until a time.
+func (w *world) load(until tiller.Millis, perSecond int, path string) {
+	for at := w.now; at < until; at += tiller.Millis(1000 / perSecond) {
+		w.after(at-w.now, func() { w.query(w.daemons[w.random.IntN(len(w.daemons))], path) })
+	}
+}
+
+func (w *world) send(d *daemon, e gatherer.Send) {
+	s := w.servers[e.Upstream.ID]
+	id := w.clientID(d, e.Query)
+	ended := false
+	end := func(event gatherer.AttemptEnded) {
+		if ended {
+			return
+		}
+		ended = true
+		delete(d.sent, e.Attempt)
+		event.Attempt = e.Attempt
+		w.step(d, event)
+	}
+	lost := func(reason tiller.Reason) gatherer.AttemptEnded {
+		return gatherer.AttemptEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, reason, nil)}
+	}
+	d.sent[e.Attempt] = &sent{abandon: func() { end(lost(tiller.ReasonCancelled)) }}
+	w.after(e.Left, func() { end(lost(tiller.ReasonTimeout)) })
+	w.after(way(d.region, s.Region), func() {
+		event, took := w.serve(s, id)
+		if took >= 0 {
+			w.after(took+way(d.region, s.Region), func() { end(event) })
+		}
+	})
+}
+
+// clientID returns the client's identifier of a query of a daemon.
+func (w *world) clientID(d *daemon, query uint64) string {
+	if id, ok := d.subs[query]; ok {
+		return id
+	}
+	return fmt.Sprintf("q-%d", query)
+}
+
+// serve lets a request arrive at an upstream. It returns the answer and the time that it takes;
+// a negative time means that no answer comes.
+func (w *world) serve(s *server, id string) (gatherer.AttemptEnded, tiller.Millis) {
+	if s.silent {
+		return gatherer.AttemptEnded{}, -1
+	}
+	a := arrival{at: w.now, id: id, upstream: s.ID}
+	s.requests = append(s.requests, w.now)
+	if w.random.Float64() < s.shed {
+		w.arrivals[s.Service] = append(w.arrivals[s.Service], a)
+		return gatherer.AttemptEnded{Answer: gatherer.Answer{Status: 503, NotExecuted: true}}, 0
+	}
+	a.ran = true
+	w.arrivals[s.Service] = append(w.arrivals[s.Service], a)
+	start := w.now
+	if s.pauseEvery > 0 {
+		if phase := (w.now + s.pausePhase) % s.pauseEvery; phase < s.pause {
+			start += s.pause - phase
+		}
+	}
+	if len(s.busy) >= s.Slots {
+		start = max(start, s.busy[len(s.busy)-s.Slots])
+	}
+	done := start + s.work
+	s.busy = append(s.busy, done)
+	if w.random.Float64() < s.reset {
+		return gatherer.AttemptEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, nil)}, done - w.now
+	}
+	return gatherer.AttemptEnded{Answer: gatherer.Answer{Status: 200, Stamp: id + s.ID, Body: make([]byte, 32)}}, done - w.now
+}
+
+func (w *world) ask(d *daemon, e gatherer.Ask) {
+	var peer *daemon
+	for _, other := range w.daemons {
+		if other.vm == e.Member.VM {
+			peer = other
+		}
+	}
+	ended := false
+	end := func(event gatherer.SubQueryEnded) {
+		if ended {
+			return
+		}
+		ended = true
+		delete(d.sent, e.Attempt)
+		event.Attempt = e.Attempt
+		w.step(d, event)
+	}
+	id := w.clientID(d, e.Query)
+	w.queries++
+	query := w.queries
+	d.sent[e.Attempt] = &sent{abandon: func() {
+		end(gatherer.SubQueryEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonCancelled, nil)})
+		w.after(way(d.region, peer.region), func() { w.step(peer, gatherer.QueryAbandoned{Query: query}) })
+	}}
+	w.after(e.Left, func() {
+		end(gatherer.SubQueryEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonTimeout, nil)})
+	})
+	w.after(way(d.region, peer.region), func() {
+		peer.subs[query] = id
+		peer.reset = append(peer.reset, func() {
+			end(gatherer.SubQueryEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, nil)})
+		})
+		peer.asker[query] = func(r gatherer.SubReply) {
+			w.after(way(d.region, peer.region), func() { end(gatherer.SubQueryEnded{Reply: r}) })
+		}
+		w.step(peer, gatherer.SubQueryArrived{
+			Query: query, ID: "sub of " + id, Route: e.Route, Shards: e.Shards, TopK: e.TopK, Attempts: e.Attempts,
+			Extra: e.Extra, Avoid: e.Avoid, Regions: e.Regions, MaySkip: e.MaySkip, Within: e.Within, Left: e.Left,
+		})
+	})
+}
