--- a/gatherer/arrive.go
+++ b/gatherer/arrive.go
@@ -60,6 +60,9 @@
 	q.route.Attempts = max(e.Attempts, 1)
 	q.route.Regions = e.Regions
 	q.addShards(e.Shards)
+	for _, sh := range q.shards {
+		sh.counted = e.Extra
+	}
 	for _, id := range e.Avoid {
 		if u, ok := s.upstreams[id]; ok {
 			q.avoid(u)
@@ -92,7 +95,7 @@
 // isServable says whether any upstream may take a shard.
 func (s *State) isServable(now tiller.Millis, sh *shard) bool {
 	for _, u := range s.services[sh.service] {
-		if s.isUsable(u, sh.query.route) && s.admitsCold(now, u) {
+		if s.isUsable(u, sh.query.route) && !u.isDown(now) && s.admitsCold(now, u) {
 			return true
 		}
 	}
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -28,6 +28,9 @@
 	if verdict != tiller.NotRun {
 		sh.ran++
 	}
+	if reason == tiller.ReasonConnectFailed {
+		s.refund(a)
+	}
 	a.query.note(now, a, reason)
 	s.again(now, sh, a, reason, e)
 }
@@ -51,6 +54,7 @@
 	default:
 		stat.Failed(now, a.id)
 	}
+	s.watchDown(now, a, e)
 }
 
 // judge returns an empty reason when an answer may be used, else whether the request may have run,
@@ -129,7 +133,7 @@
 	if !sh.mayAsk() || now >= sh.query.end-minUsefulMillis {
 		return false
 	}
-	if !s.budget(sh.service).Allows(1) {
+	if sh.arrivals > 0 && !s.budget(sh.service).Allows(1) {
 		sh.reason = tiller.ReasonRetryBudget
 		return false
 	}
@@ -141,20 +145,23 @@
 		sh.hedgeAt = now + shedPauseMillis
 		return sh.hedgeAt < sh.query.end-minUsefulMillis
 	}
-	s.sendExtra(now, sh, u, reason)
+	s.sendAgain(now, sh, u, reason)
 	return true
 }
 
-// sendExtra sends a further request for a shard, which spends from the budget.
-func (s *State) sendExtra(now tiller.Millis, sh *shard, u *upstream, reason tiller.Reason) {
-	s.budgets[sh.service] = s.budget(sh.service).WithSpent(1)
+// sendAgain sends a further request for a shard. Across regions it goes through a daemon there.
+func (s *State) sendAgain(now tiller.Millis, sh *shard, u *upstream, reason tiller.Reason) {
 	s.emit(Retried{Query: sh.query.id, Service: sh.service, Upstream: u.ID, Reason: reason})
 	if p := s.peerNear(now, u, sh.query); p != nil {
+		extra := sh.arrivals > 0
+		if extra {
+			s.pay(sh)
+		}
 		sh.hedgeAt = 0
-		s.ask(now, sh.query, p, []*shard{sh}, 1)
+		s.ask(now, sh.query, p, []*shard{sh}, 1, extra)
 		return
 	}
-	s.send(now, sh, u)
+	s.send(now, sh, u, s.pay(sh))
 }
 
 // note keeps an outcome for the log.
--- a/gatherer/choose.go
+++ b/gatherer/choose.go
@@ -86,7 +86,7 @@
 func (s *State) best(now tiller.Millis, sh *shard, again bool) (near, far candidate) {
 	near.cost, far.cost = math.Inf(1), math.Inf(1)
 	for _, u := range s.services[sh.service] {
-		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || !s.admitsCold(now, u) {
+		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || u.isDown(now) || !s.admitsCold(now, u) {
 			continue
 		}
 		c := candidate{upstream: u, cost: s.cost(now, u, sh.query)}
--- /dev/null
+++ b/gatherer/down.go
@@ -0,0 +1,59 @@
+package gatherer
+
+import tiller "github.com/carawaytiller/carawaytiller"
+
+const (
+	// downMillis is the time for which an upstream that cannot be reached gets no requests. The first
+	// request after it finds out whether the upstream is back.
+	downMillis = 300
+	// silentLimit is the number of requests in a row without an answer after which an upstream counts
+	// as one that cannot be reached.
+	silentLimit = 3
+)
+
+// down notes that an upstream cannot be reached.
+type down struct {
+	until  tiller.Millis
+	silent int
+}
+
+// isDown says whether requests to an upstream are known to be in vain.
+func (u *upstream) isDown(now tiller.Millis) bool { return now < u.down.until }
+
+// watchDown learns from the end of an attempt whether its upstream can be reached.
+func (s *State) watchDown(now tiller.Millis, a *attempt, e AttemptEnded) {
+	d := &a.upstream.down
+	switch {
+	case e.Failure == nil:
+		*d = down{}
+	case e.Failure.Reason == tiller.ReasonConnectFailed:
+		d.until = now + downMillis
+	case now-a.sent >= lingerMillis:
+		if d.silent++; d.silent >= silentLimit {
+			d.until = now + downMillis
+		}
+	}
+}
+
+// learnDown takes over what another daemon knows of upstreams near it.
+func (s *State) learnDown(now tiller.Millis, ids []string) {
+	for _, id := range ids {
+		if u, ok := s.upstreams[id]; ok {
+			u.down.until = max(u.down.until, now+downMillis)
+		}
+	}
+}
+
+// downOf lists the upstreams of a query's shards that cannot be reached from here. Those of other
+// regions are left out, because this daemon may only be cut off from them.
+func (s *State) downOf(now tiller.Millis, q *query) []string {
+	var ids []string
+	for _, sh := range q.shards {
+		for _, u := range s.services[sh.service] {
+			if u.Region == s.settings.Region && u.isDown(now) {
+				ids = append(ids, u.ID)
+			}
+		}
+	}
+	return ids
+}
--- a/gatherer/evaluate.go
+++ b/gatherer/evaluate.go
@@ -96,8 +96,9 @@
 		if sh.status == shardDone {
 			continue
 		}
-		r.Missing = append(r.Missing, MissingShard{Shard: sh.service, Reason: sh.reason, Attempts: sh.ran + sh.outstanding, Asked: sh.asked})
+		r.Missing = append(r.Missing, MissingShard{Shard: sh.service, Reason: sh.reason, Attempts: sh.ran + sh.outstanding, Asked: sh.arrivals > 0})
 	}
+	r.Down = s.downOf(now, q)
 	s.emit(ReplySub{Query: q.id, Reply: r, Decision: q.decision(now)})
 	s.finish(q, lingerMillis)
 }
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -120,6 +120,8 @@
 	Records []byte
 	// Missing are the shards without a part.
 	Missing []MissingShard
+	// Down lists upstreams of the shards that cannot be reached.
+	Down []string
 	// Took is the time from the arrival of the sub-query to the reply.
 	Took tiller.Millis
 	// NoCapacity says that the daemon did not take the sub-query; nothing ran.
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -37,7 +37,7 @@
 			}
 			continue
 		}
-		s.ask(now, q, p, groups[p], q.route.Attempts)
+		s.ask(now, q, p, groups[p], q.route.Attempts, false)
 	}
 }
 
@@ -97,7 +97,7 @@
 	chosen.cost = math.Inf(1)
 	for _, u := range s.services[sh.service] {
 		p, ok := peers[u.Region]
-		if ok && p.cost < chosen.cost && s.isUsable(u, sh.query.route) && now >= u.cold.until {
+		if ok && p.cost < chosen.cost && s.isUsable(u, sh.query.route) && !u.isDown(now) && now >= u.cold.until {
 			chosen = p
 		}
 	}
@@ -111,27 +111,49 @@
 	return chosen.peer
 }
 
-// sendFirst sends the first request of a shard, which adds to the budget for further ones.
+// sendFirst sends the first request of a shard.
 func (s *State) sendFirst(now tiller.Millis, sh *shard) {
 	u := s.next(now, sh)
 	if u == nil {
 		sh.lose(tiller.ReasonNoUpstream)
 		return
 	}
-	sh.asked = true
-	if !sh.query.extra {
-		s.budgets[sh.service] = s.budget(sh.service).WithFirst(1)
+	s.send(now, sh, u, s.pay(sh))
+}
+
+// pay takes a request of a shard from the budget of further requests, or adds to that budget when
+// no request has arrived at an upstream yet. It says whether the request was paid for.
+func (s *State) pay(sh *shard) bool {
+	b := s.budget(sh.service)
+	switch {
+	case sh.arrivals > 0:
+		s.budgets[sh.service] = b.WithSpent(1)
+		return true
+	case !sh.counted:
+		s.budgets[sh.service] = b.WithFirst(1)
+		sh.counted = true
+	}
+	return false
+}
+
+// refund takes back a request that did not arrive at any upstream.
+func (s *State) refund(a *attempt) {
+	for _, sh := range a.shards {
+		sh.arrivals--
+		if a.extra {
+			s.budgets[sh.service] = s.budget(sh.service).WithGain(1)
+		}
 	}
-	s.send(now, sh, u)
 }
 
 // send sends a request of a shard to an upstream.
-func (s *State) send(now tiller.Millis, sh *shard, u *upstream) {
+func (s *State) send(now tiller.Millis, sh *shard, u *upstream, extra bool) {
 	q := sh.query
 	s.lastAttempt++
 	expected := u.stat.Mean(now, s.expected(now, u, q))
 	a := &attempt{
-		id: s.lastAttempt, query: q, shards: []*shard{sh}, upstream: u, sent: now, expected: tiller.Millis(expected),
+		id: s.lastAttempt, query: q, shards: []*shard{sh}, upstream: u, extra: extra, sent: now,
+		expected: tiller.Millis(expected),
 	}
 	s.attempts[a.id] = a
 	q.attempts = append(q.attempts, a.id)
@@ -139,6 +161,7 @@
 		sh.tried = append(sh.tried, u)
 	}
 	sh.outstanding++
+	sh.arrivals++
 	q.sent++
 	u.stat.Sent(now, a.id)
 	if now < u.cold.until {
@@ -149,26 +172,27 @@
 }
 
 // ask sends a sub-query for several shards to another daemon, which may send each to limit upstreams.
-func (s *State) ask(now tiller.Millis, q *query, p *peer, shards []*shard, limit int) {
+func (s *State) ask(now tiller.Millis, q *query, p *peer, shards []*shard, limit int, extra bool) {
 	s.lastAttempt++
 	mean := p.stat.Mean(now, peerPriorMillis)
 	a := &attempt{
-		id: s.lastAttempt, query: q, shards: shards, peer: p, limit: limit, sent: now, expected: tiller.Millis(mean),
+		id: s.lastAttempt, query: q, shards: shards, peer: p, limit: limit, extra: extra, sent: now,
+		expected: tiller.Millis(mean),
 	}
 	s.attempts[a.id] = a
 	q.attempts = append(q.attempts, a.id)
 	effect := Ask{
 		Query: q.id, Attempt: a.id, Member: p.Member, Route: q.route.Name, TopK: q.topK,
-		Attempts: limit, Regions: q.route.Regions, MaySkip: len(q.shards) - q.needed,
+		Attempts: limit, Extra: extra, Regions: q.route.Regions, MaySkip: len(q.shards) - q.needed,
 		Within: q.within(now, p), Left: max(q.end-now-tiller.Millis(p.way/2), minPeerMillis),
 	}
 	for _, sh := range shards {
 		effect.Shards = append(effect.Shards, sh.service)
 		for _, u := range sh.tried {
 			effect.Avoid = append(effect.Avoid, u.ID)
-			effect.Extra = true
 		}
 		sh.outstanding += limit
+		sh.arrivals++
 	}
 	q.sent++
 	p.stat.Sent(now, a.id)
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -46,9 +46,11 @@
 	outstanding int
 	// hedgeAt is the time at which a further request is due.
 	hedgeAt tiller.Millis
-	// asked says that a first request was sent from this daemon.
-	asked  bool
-	reason tiller.Reason
+	// counted says that the shard's first request has added to the budget, here or elsewhere.
+	counted bool
+	// arrivals is the number of requests that may have arrived at an upstream.
+	arrivals int
+	reason   tiller.Reason
 	// stamp and records are the part of an answered shard. A part that a sub-query brought has
 	// its records in merged.
 	stamp   string
@@ -71,7 +73,9 @@
 	upstream *upstream
 	peer     *peer
 	// limit is the number of upstreams of each shard that a sub-query may be sent to.
-	limit    int
+	limit int
+	// extra says that the attempt was paid for from the budget.
+	extra    bool
 	sent     tiller.Millis
 	expected tiller.Millis
 }
--- a/gatherer/route_test.go
+++ b/gatherer/route_test.go
@@ -134,3 +134,31 @@
 	require.Equal(t, len(d.sent), cancelled)
 	require.Zero(t, d.state.Busy())
 }
+
+// A daemon that is lost with a sub-query may have asked as many upstreams as the route allows, so
+// its shards must not be asked for again.
+func TestLostDaemonUsesUpTheAttempts(t *testing.T) {
+	for _, tt := range []struct {
+		verdict tiller.Verdict
+		resent  bool
+	}{{tiller.MayHaveRun, false}, {tiller.NotRun, true}} {
+		w := newWorld(t, 7)
+		d := w.daemons[0]
+		var ask gatherer.Ask
+		for _, e := range d.state.Step(w.now, gatherer.QueryArrived{Query: 1, ID: "a", Host: "h", Path: "/q/1", Deadline: 1000}) {
+			if a, ok := e.(gatherer.Ask); ok {
+				ask = a
+			}
+		}
+		require.NotEmpty(t, ask.Shards)
+		resent := false
+		lost := tiller.NewFailure(tt.verdict, tiller.ReasonConnectionLost, nil)
+		for _, e := range d.state.Step(w.now+1, gatherer.SubQueryEnded{Attempt: ask.Attempt, Failure: lost}) {
+			switch e.(type) {
+			case gatherer.Send, gatherer.Ask:
+				resent = true
+			}
+		}
+		require.Equal(t, tt.resent, resent, tt.verdict)
+	}
+}
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -54,6 +54,7 @@
 	cataloger.Upstream
 	stat *balancer.Stat
 	cold coldAllowance
+	down down
 	// misdirected says that another process answered at the address.
 	misdirected bool
 }
--- a/gatherer/subquery.go
+++ b/gatherer/subquery.go
@@ -30,6 +30,7 @@
 		s.replaceSubQuery(now, a, e)
 		return
 	}
+	s.learnDown(now, e.Reply.Down)
 	s.acceptReply(now, a, e.Reply)
 	s.evaluate(now, q)
 }
@@ -76,7 +77,11 @@
 			continue
 		}
 		sh.ran += m.Attempts
-		sh.asked = sh.asked || m.Asked
+		if !m.Asked {
+			sh.arrivals--
+		} else {
+			sh.counted = true
+		}
 		sh.reason = m.Reason
 		if sh.outstanding == 0 {
 			s.restart(now, sh, m.Reason)
@@ -110,6 +115,9 @@
 			ran = a.limit
 		}
 	}
+	if ran == 0 {
+		s.refund(a)
+	}
 	a.query.note(now, a, reason)
 	for _, sh := range a.shards {
 		sh.ran += ran
@@ -120,13 +128,8 @@
 	s.evaluate(now, a.query)
 }
 
-// restart asks directly for a shard that a sub-query did not bring. It is the first request of
-// this daemon, but it counts as extra where the other daemon may have sent one.
+// restart asks for a shard that a sub-query did not bring.
 func (s *State) restart(now tiller.Millis, sh *shard, reason tiller.Reason) {
-	if sh.ran == 0 && !sh.asked && len(sh.tried) == 0 {
-		s.sendFirst(now, sh)
-		return
-	}
 	if !s.retry(now, sh, reason) {
 		sh.lose(reason)
 	}
--- a/gatherer/world_test.go
+++ b/gatherer/world_test.go
@@ -44,7 +44,7 @@
 	subs map[uint64]string
 	// reset ends the sub-queries that other daemons have sent here.
 	reset []func()
-	dead bool
+	dead  bool
 }
 
 // sent is an attempt on its way.
