--- a/follower/announcer.go
+++ b/follower/announcer.go
@@ -15,9 +15,9 @@
 
 const (
 	// leaseMillis is the time after which a daemon that stopped renewing is no longer a member.
-	leaseMillis = 9 * tiller.Second
-	// renewMillis is the time between renewals. A failed renewal also tells that the store is lost.
-	renewMillis = 2500 * tiller.Millis(1)
+	leaseMillis = 20 * tiller.Second
+	// renewMillis is the time between renewals, so that two may fail.
+	renewMillis = 6 * tiller.Second
 )
 
 // ParseMember decodes the entry of a daemon.
@@ -37,25 +37,18 @@
 	store  *platform.Store
 	log    logr.Logger
 	member cataloger.Member
-	// doubt is called when the store fails.
-	doubt func()
 	lost  chan struct{}
 	lease int64
 }
 
-// NewAnnouncer returns an announcer of member. doubt is called when the store fails.
-func NewAnnouncer(store *platform.Store, log logr.Logger, member cataloger.Member, doubt func()) *Announcer {
-	return &Announcer{store: store, log: log, member: member, doubt: doubt, lost: make(chan struct{}, 1)}
+// NewAnnouncer returns an announcer of member.
+func NewAnnouncer(store *platform.Store, log logr.Logger, member cataloger.Member) *Announcer {
+	return &Announcer{store: store, log: log, member: member, lost: make(chan struct{}, 1)}
 }
 
-// Check compares the members in the store with the own entry, which is written again when it is
-// missing. It may be called concurrently.
-func (a *Announcer) Check(members []cataloger.Member) {
-	for _, m := range members {
-		if m == a.member {
-			return
-		}
-	}
+// Lost says that the own entry was removed from the store, so that it is written again. It may be
+// called concurrently.
+func (a *Announcer) Lost() {
 	select {
 	case a.lost <- struct{}{}:
 	default:
@@ -67,9 +60,6 @@
 	for ctx.Err() == nil {
 		if err := a.hold(ctx); err != nil && ctx.Err() == nil {
 			a.log.Info("Daemon is not announced", "Cause", err.Error(), "Lease", a.lease)
-			if !errors.Is(err, platform.ErrNoLease) {
-				a.doubt()
-			}
 			sleep(ctx, retryMillis+tiller.Millis(rand.Int64N(maxRetryMillis)))
 		}
 	}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -1,5 +1,9 @@
 // Package follower keeps a daemon in step with the platform's store: it reads the configuration,
-// the upstreams and the other daemons, watches for changes, and turns them into events.
+// the upstreams and the other daemons, follows their changes, and turns them into events.
+//
+// In each region one daemon watches the store and hands the changes to the others, so that calls
+// of the store do not grow with the fleet. A daemon whose source fails or falls behind takes the
+// next one, or watches the store itself.
 package follower
 
 import (
@@ -14,6 +18,7 @@
 
 	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/cataloger"
+	"github.com/carawaytiller/carawaytiller/forwarder"
 	"github.com/carawaytiller/carawaytiller/gatherer"
 	"github.com/carawaytiller/carawaytiller/platform"
 )
@@ -21,7 +26,7 @@
 const (
 	// watchMillis is the time that one watch waits. Each watch is a priced call; a watch that was
 	// cut without notice is found when it ends, which must be within the time to notice a change.
-	watchMillis = 3500 * tiller.Millis(1)
+	watchMillis = 1000 * tiller.Millis(1)
 	// probeMillis is the wait of the first watch after the store was lost.
 	probeMillis = 1
 	// gatherMillis is the pause between two watches, in which changes gather that come in a row.
@@ -35,49 +40,54 @@
 	returnMillis = 2200
 )
 
-// Follower follows the store. Run is its only goroutine.
+// Follower follows the store. Run is its only goroutine; ServeChanges may be called concurrently.
 type Follower struct {
 	clock   tiller.Clock
 	store   *platform.Store
+	client  *forwarder.Client
 	log     logr.Logger
 	regions map[string]string
+	self    cataloger.Member
 	emit    func(gatherer.Event)
-	// changed is told the keys of the fleet's members after each change.
-	changed func(members []cataloger.Member)
+	// lost is called when the daemon's own entry was removed.
+	lost func()
 
-	revision  int64
-	known     map[string]int64
-	members   map[string]cataloger.Member
-	evacuated map[string]bool
+	table   *Table
+	members map[string]cataloger.Member
 	// missing holds upstreams without an entry that may still enter themselves again, with the time
 	// at which they are given up.
 	missing map[string]tiller.Millis
+	// penalty holds daemons that failed as a source, with the time until which they are left out.
+	penalty map[string]tiller.Millis
 	failing bool
+	// direct says that the store was the last source.
+	direct bool
 	// trustAt is the time from which a missing entry means that its upstream is gone.
-	trustAt tiller.Millis
-	// doubt ends the watch that is waiting.
-	doubt atomic.Pointer[context.CancelFunc]
+	trustAt atomic.Int64
+	// heard is the time at which the store was last heard of.
+	heard atomic.Int64
 }
 
-// Doubt ends the watch that is waiting, because another call of the store failed. It may be
-// called concurrently.
-func (f *Follower) Doubt() {
-	if cancel := f.doubt.Load(); cancel != nil {
-		(*cancel)()
-	}
+// Seams are the functions through which a Follower acts.
+type Seams struct {
+	// Emit takes events.
+	Emit func(gatherer.Event)
+	// Lost is called when the daemon's own entry was removed from the store.
+	Lost func()
 }
 
-// New returns a Follower. regions maps failure domains to regions. emit takes events; changed is
-// called with the members of the fleet whenever they change.
-func New(clock tiller.Clock, store *platform.Store, log logr.Logger, regions map[string]string,
-	emit func(gatherer.Event), changed func([]cataloger.Member),
+// New returns a Follower for the daemon self. regions maps failure domains to regions. client
+// reaches other daemons.
+func New(clock tiller.Clock, store *platform.Store, client *forwarder.Client, log logr.Logger,
+	regions map[string]string, self cataloger.Member, seams Seams,
 ) *Follower {
 	return &Follower{
-		clock: clock, store: store, log: log, regions: regions, emit: emit, changed: changed,
-		known:     make(map[string]int64),
-		members:   make(map[string]cataloger.Member),
-		evacuated: make(map[string]bool),
-		missing:   make(map[string]tiller.Millis),
+		clock: clock, store: store, client: client, log: log, regions: regions, self: self,
+		emit: seams.Emit, lost: seams.Lost,
+		table:   NewTable(),
+		members: make(map[string]cataloger.Member),
+		missing: make(map[string]tiller.Millis),
+		penalty: make(map[string]tiller.Millis),
 	}
 }
 
@@ -89,9 +99,12 @@
 		if ctx.Err() != nil {
 			return
 		}
+		f.giveUp()
 		if err == nil {
 			pause = retryMillis
-			sleep(ctx, gatherMillis)
+			if f.direct {
+				sleep(ctx, gatherMillis)
+			}
 			continue
 		}
 		f.lose(err)
@@ -102,27 +115,24 @@
 
 // follow reads everything once, and from then on waits for changes.
 func (f *Follower) follow(ctx context.Context) error {
-	if f.revision == 0 {
-		return f.readAll(ctx)
+	f.direct = true
+	if f.table.Revision() == 0 {
+		return f.readAll(ctx, true)
+	}
+	if m, ok := f.relay(); ok {
+		f.direct = false
+		return f.followRelay(ctx, m)
 	}
-	watch, cancel := context.WithCancel(ctx)
-	f.doubt.Store(&cancel)
-	items, revision, err := f.store.Watch(watch, "", f.revision, f.watchTime())
-	cancel()
+	items, revision, err := f.store.Watch(ctx, "", f.table.Revision(), f.watchTime())
 	if errors.Is(err, platform.ErrCompacted) {
-		f.log.Info("History of the store is gone, reading everything", "After", f.revision)
-		f.revision = 0
-		return nil
+		f.log.Info("History of the store is gone, reading everything", "After", f.table.Revision())
+		return f.readAll(ctx, false)
 	}
 	if err != nil {
 		return err
 	}
 	f.regain()
-	for _, item := range items {
-		f.apply(item)
-	}
-	f.revision = revision
-	f.giveUp()
+	f.applyAll(items, revision, false)
 	return nil
 }
 
@@ -140,46 +150,50 @@
 	return wait
 }
 
-// readAll reads all entries. Entries that were known and are missing have been removed.
-func (f *Follower) readAll(ctx context.Context) error {
-	seen := make(map[string]bool)
+// readAll reads all entries. Stale reads are cheap and begin at an older state, from which the next
+// watch goes on.
+func (f *Follower) readAll(ctx context.Context, stale bool) error {
+	var items []platform.Item
 	var first int64
 	for _, prefix := range []string{platform.OperatorsPrefix(), platform.UpstreamPrefix(), platform.MemberPrefix()} {
-		items, revision, err := f.store.Range(ctx, prefix)
+		page, revision, err := f.store.Range(ctx, prefix, stale)
 		if err != nil {
 			return err
 		}
-		if first == 0 {
+		items = append(items, page...)
+		if first == 0 || revision < first {
 			first = revision
-			f.regain()
-		}
-		for _, item := range items {
-			seen[item.Key] = true
-			f.apply(item)
 		}
 	}
-	for key := range f.known {
-		if !seen[key] {
-			f.apply(platform.Item{Key: key, Revision: first, Deleted: true})
-		}
+	f.regain()
+	if f.table.Revision() > 0 {
+		f.table.Reset(first)
 	}
-	f.revision = first
-	f.log.Info("Read the store", "Revision", first, "Keys", len(seen))
-	f.giveUp()
+	f.applyAll(items, first, true)
+	f.log.Info("Read the store", "Revision", first, "Keys", len(items), "Stale", stale)
 	return nil
 }
 
-// apply turns the state of one key into events. Older states than the known one are ignored.
-func (f *Follower) apply(item platform.Item) {
-	if item.Revision < f.known[item.Key] {
-		return
+// applyAll applies items that lead to a revision. When they are whole, known entries that are not
+// among them have been removed.
+func (f *Follower) applyAll(items []platform.Item, revision int64, whole bool) {
+	seen := make(map[string]bool, len(items))
+	for _, item := range items {
+		seen[item.Key] = true
+		f.apply(item)
 	}
-	if item.Deleted {
-		delete(f.known, item.Key)
-	} else if f.known[item.Key] == item.Revision {
+	if whole {
+		for _, key := range f.table.Missing(seen, revision) {
+			f.apply(platform.Item{Key: key, Revision: revision + 1, Deleted: true})
+		}
+	}
+	f.table.Advance(revision)
+}
+
+// apply turns the state of one key into events.
+func (f *Follower) apply(item platform.Item) {
+	if !f.table.Apply(item) {
 		return
-	} else {
-		f.known[item.Key] = item.Revision
 	}
 	if id, ok := platform.UpstreamID(item.Key); ok {
 		f.applyUpstream(id, item)
@@ -198,7 +212,7 @@
 		f.log.Error(err, "Configuration cannot be read", "Revision", item.Revision)
 		return
 	}
-	f.log.Info("Configuration read", "Version", c.Version, "Revision", item.Revision, "Routes", c.Routes())
+	f.log.Info("Configuration read", "Version", c.Version, "Revision", item.Revision, "Routes", c.Routes(), "Direct", f.direct)
 	f.emit(gatherer.ConfigurationChanged{Configuration: c})
 }
 
@@ -220,9 +234,10 @@
 
 // removeUpstream takes an upstream out, or waits for its return when the store was just away.
 func (f *Follower) removeUpstream(id string) {
-	if now := f.clock.Now(); now < f.trustAt {
-		f.missing[id] = f.trustAt
-		f.log.Info("Upstream is missing after the store's return", "Upstream", id, "GivenUpIn", f.trustAt-now)
+	trustAt := tiller.Millis(f.trustAt.Load())
+	if now := f.clock.Now(); now < trustAt {
+		f.missing[id] = trustAt
+		f.log.Info("Upstream is missing after the store's return", "Upstream", id, "GivenUpIn", trustAt-now)
 		return
 	}
 	f.log.Info("Upstream is gone", "Upstream", id)
@@ -249,6 +264,9 @@
 func (f *Follower) applyMember(vm string, item platform.Item) {
 	if item.Deleted {
 		delete(f.members, vm)
+		if vm == f.self.VM {
+			f.lost()
+		}
 	} else {
 		m, err := ParseMember(item.Value)
 		if err != nil {
@@ -262,26 +280,28 @@
 		members = append(members, m)
 	}
 	f.emit(gatherer.MembersChanged{Members: members})
-	f.changed(members)
 }
 
 // lose notes that the store cannot be reached.
 func (f *Follower) lose(err error) {
 	if !f.failing {
-		f.log.Info("Store lost", "Cause", strings.TrimSpace(err.Error()), "Revision", f.revision)
+		f.log.Info("Store lost", "Cause", strings.TrimSpace(err.Error()), "Revision", f.table.Revision())
 	}
 	f.failing = true
 	f.store.CloseConnections()
 }
 
-// regain notes that the store is back. Upstreams get some time to enter themselves again.
+// regain notes that the store has answered. After an outage upstreams get some time to enter
+// themselves again.
 func (f *Follower) regain() {
+	now := f.clock.Now()
+	f.heard.Store(int64(now))
 	if !f.failing {
 		return
 	}
 	f.failing = false
-	f.trustAt = f.clock.Now() + returnMillis
-	f.log.Info("Store regained", "Revision", f.revision)
+	f.trustAt.Store(int64(now + returnMillis))
+	f.log.Info("Store regained", "Revision", f.table.Revision())
 }
 
 func sleep(ctx context.Context, d tiller.Millis) {
--- /dev/null
+++ b/follower/relay.go
@@ -0,0 +1,137 @@
+package follower
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/cataloger"
+	"github.com/carawaytiller/carawaytiller/forwarder"
+)
+
+// ChangesPath is the path at which a daemon hands changes of the store to daemons that follow it.
+const ChangesPath = "/v1/changes"
+
+const (
+	// relayWaitMillis is the time that a daemon waits for changes at another one.
+	relayWaitMillis = 1000 * tiller.Millis(1)
+	// relayMarginMillis is the time that its reply may take beyond that.
+	relayMarginMillis = 500
+	// relayAgeMillis is the age of another daemon's knowledge from which the store is asked directly.
+	// Together with the waits it stays below the time in which a configuration must be in force.
+	relayAgeMillis = 2000
+	// relayPenaltyMillis is the time for which a daemon that failed is not followed.
+	relayPenaltyMillis = 5 * tiller.Second
+)
+
+// ServeChanges hands changes to a daemon that follows this one. It waits for changes when there
+// are none.
+func (f *Follower) ServeChanges(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after is not a revision", http.StatusBadRequest)
+		return
+	}
+	update, changed := f.table.Since(after)
+	if len(update.Items) == 0 && f.age() < relayAgeMillis {
+		timer := time.NewTimer(relayWaitMillis.Duration())
+		defer timer.Stop()
+		select {
+		case <-changed:
+			update, _ = f.table.Since(after)
+		case <-timer.C:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	update.Age = f.age()
+	update.Hold = max(tiller.Millis(f.trustAt.Load())-f.clock.Now(), 0)
+	body, err := cbor.Marshal(update)
+	if err != nil {
+		http.Error(w, "the update cannot be encoded", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	// A follower that has gone asks another daemon.
+	_, _ = w.Write(body)
+}
+
+// age returns the time since the store was last heard of, here or by the daemon that is followed.
+func (f *Follower) age() tiller.Millis { return f.clock.Now() - tiller.Millis(f.heard.Load()) }
+
+// relay returns the daemon to follow; false when this daemon is to ask the store itself. In each
+// region the daemon that ranks first asks the store.
+func (f *Follower) relay() (cataloger.Member, bool) {
+	now := f.clock.Now()
+	ranked := make([]cataloger.Member, 0, len(f.members))
+	for _, m := range f.members {
+		if m.Region == f.self.Region && !m.Leaving {
+			ranked = append(ranked, m)
+		}
+	}
+	sort.Slice(ranked, func(i, j int) bool { return relayRank(ranked[i]) > relayRank(ranked[j]) })
+	for _, m := range ranked {
+		if m.VM == f.self.VM {
+			return m, false
+		}
+		if now >= f.penalty[m.VM] {
+			return m, true
+		}
+	}
+	return cataloger.Member{}, false
+}
+
+func relayRank(m cataloger.Member) uint64 { return xxhash.Sum64String("relay\x00" + m.VM) }
+
+// followRelay waits for changes at another daemon.
+func (f *Follower) followRelay(ctx context.Context, m cataloger.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, (relayWaitMillis + relayMarginMillis).Duration())
+	defer cancel()
+	update, err := f.askRelay(ctx, m)
+	if err == nil && update.Age >= relayAgeMillis {
+		err = errors.Errorf("it heard of the store %d ms ago", update.Age)
+	}
+	if err == nil && update.Revision < f.table.Revision() {
+		err = errors.Errorf("it is at revision %d, behind %d", update.Revision, f.table.Revision())
+	}
+	if err != nil {
+		f.penalty[m.VM] = f.clock.Now() + relayPenaltyMillis
+		f.log.Info("Daemon is not followed", "VM", m.VM, "Cause", err.Error())
+		return nil
+	}
+	f.take(update)
+	return nil
+}
+
+func (f *Follower) askRelay(ctx context.Context, m cataloger.Member) (Update, error) {
+	var update Update
+	resp, failure := f.client.Do(ctx, forwarder.Request{
+		Address: m.Address, Key: ChangesPath, Method: http.MethodGet, Host: m.Address, Header: http.Header{},
+		URI: ChangesPath + "?after=" + strconv.FormatInt(f.table.Revision(), 10),
+	})
+	if failure != nil {
+		return update, failure
+	}
+	if resp.Status != http.StatusOK {
+		return update, errors.Errorf("it answered %d", resp.Status)
+	}
+	if err := cbor.Unmarshal(resp.Body, &update); err != nil {
+		return update, errors.Wrap(err, "decode its update")
+	}
+	return update, nil
+}
+
+// take applies the update of another daemon.
+func (f *Follower) take(u Update) {
+	now := f.clock.Now()
+	f.heard.Store(int64(now - u.Age))
+	f.trustAt.Store(max(f.trustAt.Load(), int64(now+u.Hold)))
+	f.applyAll(u.Items, u.Revision, u.Whole)
+}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -68,10 +68,11 @@
 		RequestID: platform.RequestID, Deadline: platform.Deadline, SetGathered: platform.SetGathered,
 	}, g.limits, g.observer.refused)
 	store := platform.NewStore(s.StoreAddress)
-	g.follower = follower.New(clock, store, log, s.Regions, g.executor.Step, func(m []cataloger.Member) { g.announcer.Check(m) })
-	g.announcer = follower.NewAnnouncer(store, log, cataloger.Member{
+	self := cataloger.Member{
 		VM: s.VM, Address: g.peerAddress(), Domain: s.Domain, Region: s.Region, Incarnation: incarnation,
-	}, g.follower.Doubt)
+	}
+	g.announcer = follower.NewAnnouncer(store, log, self)
+	g.follower = follower.New(clock, store, g.client, log, s.Regions, self, follower.Seams{Emit: g.executor.Step, Lost: g.announcer.Lost})
 	return g
 }
 
@@ -176,6 +177,7 @@
 func (g *Gatekeeper) peers() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+executor.GatherPath, g.receiver.ServeSubQuery)
+	mux.HandleFunc("GET "+follower.ChangesPath, g.follower.ServeChanges)
 	mux.HandleFunc("GET /v1/status", g.status)
 	mux.Handle("GET /metrics", g.observer)
 	return mux
