--- a/cataloger/configuration.go
+++ b/cataloger/configuration.go
@@ -33,6 +33,8 @@
 	Limits   Limits
 	services map[string]Service
 	hosts    map[string][]Route
+	// shards holds, for each service that is a shard, the number of shards of its route.
+	shards map[string]int
 }
 
 // New returns the configuration of a version with the given routes and services.
@@ -42,6 +44,7 @@
 		Limits:   limits,
 		services: make(map[string]Service, len(services)),
 		hosts:    make(map[string][]Route),
+		shards:   make(map[string]int),
 	}
 	for _, s := range services {
 		c.services[s.Name] = s
@@ -49,6 +52,9 @@
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		c.hosts[host] = append(c.hosts[host], r)
+		for _, shard := range r.Shards {
+			c.shards[shard] = len(r.Shards)
+		}
 	}
 	for _, routes := range c.hosts {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
@@ -78,6 +84,9 @@
 	return Service{Name: name}
 }
 
+// ShardsWith returns the number of shards of the route that a service is a shard of; 0 when it is none.
+func (c *Configuration) ShardsWith(service string) int { return c.shards[service] }
+
 // Routes returns the number of routes.
 func (c *Configuration) Routes() int {
 	n := 0
--- a/cataloger/member.go
+++ b/cataloger/member.go
@@ -8,6 +8,8 @@
 	Address string
 	Domain  string
 	Region  string
+	// Power is the processor share of the VM in thousandths of a core.
+	Power int
 	// Incarnation differs between the starts of a daemon on one VM.
 	Incarnation int64
 	// Leaving says that the daemon is stopping and takes no more sub-queries.
--- a/executor/peer.go
+++ b/executor/peer.go
@@ -21,14 +21,15 @@
 	Route    string
 	Shards   []string
 	TopK     int
+	Groups   int
 	Attempts int
 	// Extra says that a first request for the shards was sent already, to the upstreams in Avoid.
 	Extra   bool
 	Avoid   []string
 	Regions []string
 	MaySkip int
-	Within   tiller.Millis
-	Left     tiller.Millis
+	Within  tiller.Millis
+	Left    tiller.Millis
 }
 
 // peerGrace is added to the time of a sub-query before its connection is closed.
@@ -38,12 +39,13 @@
 func (x *Executor) ask(e gatherer.Ask) {
 	t := x.tickets[e.Query]
 	message := SubQuery{
-		Request: t.request, Route: e.Route, Shards: e.Shards, TopK: e.TopK, Attempts: e.Attempts, Extra: e.Extra, Avoid: e.Avoid,
+		Request: t.request, Route: e.Route, Shards: e.Shards, TopK: e.TopK, Groups: e.Groups, Attempts: e.Attempts, Extra: e.Extra, Avoid: e.Avoid,
 		Regions: e.Regions, MaySkip: e.MaySkip, Within: e.Within, Left: e.Left,
 	}
 	ctx := x.begin(e.Attempt, e.Left+peerGrace)
 	go func() {
-		reply, failure := x.askPeer(ctx, e.Member.Address, message)
+		accepted := func() { x.Step(gatherer.SubQueryAccepted{Attempt: e.Attempt}) }
+		reply, failure := x.askPeer(ctx, e.Member.Address, message, accepted)
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		x.release(e.Attempt)
@@ -51,7 +53,7 @@
 	}()
 }
 
-func (x *Executor) askPeer(ctx context.Context, address string, message SubQuery) (gatherer.SubReply, *tiller.Failure) {
+func (x *Executor) askPeer(ctx context.Context, address string, message SubQuery, accepted func()) (gatherer.SubReply, *tiller.Failure) {
 	var reply gatherer.SubReply
 	body, err := cbor.Marshal(message)
 	if err != nil {
@@ -60,14 +62,11 @@
 	resp, failure := x.client.Do(ctx, forwarder.Request{
 		Address: address, Key: GatherPath, Method: http.MethodPost, URI: GatherPath, Host: address,
 		Header: http.Header{"Content-Type": {"application/cbor"}}, Body: body,
+		Accepted: accepted,
 	})
 	if failure != nil {
 		return reply, failure
 	}
-	if resp.Status == http.StatusServiceUnavailable {
-		reply.NoCapacity = true
-		return reply, nil
-	}
 	if resp.Status != http.StatusOK {
 		err := errors.Errorf("the daemon at %s answered %d", address, resp.Status)
 		return reply, tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonInternal, err)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,6 +49,8 @@
 	ID string
 	// MaxIdle is the longest time for which a used connection may have been idle; 0 sets no bound.
 	MaxIdle tiller.Millis
+	// Accepted is called when the header of the answer has come; it may be nil.
+	Accepted func()
 }
 
 // Response is a whole answer.
@@ -160,7 +162,7 @@
 			break
 		}
 		idle := now - conn.idleSince
-		if idle < conn.keep && (r.MaxIdle == 0 || idle <= r.MaxIdle) && isQuiet(conn.Conn) {
+		if idle < conn.keep && (r.MaxIdle == 0 || idle <= r.MaxIdle) && IsQuiet(conn.Conn) {
 			conn.fresh = false
 			return conn, nil
 		}
@@ -236,7 +238,7 @@
 	for key, conns := range c.idle {
 		kept := conns[:0]
 		for _, conn := range conns {
-			if now-conn.idleSince < conn.keep && isQuiet(conn.Conn) {
+			if now-conn.idleSince < conn.keep && IsQuiet(conn.Conn) {
 				kept = append(kept, conn)
 				continue
 			}
@@ -267,7 +269,7 @@
 		if err != nil {
 			return Response{}, false, writeFailure(n, err)
 		}
-		return c.read(r.Method)
+		return c.read(r)
 	}
 	if n, err := c.Write(head); err != nil {
 		return Response{}, false, writeFailure(n, err)
@@ -277,7 +279,7 @@
 		_, err := c.Write(r.Body)
 		written <- err
 	}()
-	resp, reusable, failure := c.read(r.Method)
+	resp, reusable, failure := c.read(r)
 	select {
 	case err := <-written:
 		// An upstream that answered early and closed is not an error of the answer.
@@ -311,8 +313,8 @@
 }
 
 // read reads one whole answer.
-func (c *connection) read(method string) (Response, bool, *tiller.Failure) {
-	request := &http.Request{Method: method}
+func (c *connection) read(r Request) (Response, bool, *tiller.Failure) {
+	request := &http.Request{Method: r.Method}
 	for {
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -321,6 +323,9 @@
 		if resp.StatusCode < 200 {
 			continue
 		}
+		if r.Accepted != nil {
+			r.Accepted()
+		}
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 		_ = resp.Body.Close()
 		if err == nil && len(body) > maxResponseBytes {
--- a/forwarder/quiet.go
+++ b/forwarder/quiet.go
@@ -5,9 +5,9 @@
 	"syscall"
 )
 
-// isQuiet says whether an idle connection is open and nothing was received on it.
+// IsQuiet says whether an idle connection is open and nothing was received on it.
 // Bytes that arrive while no request is outstanding belong to no request.
-func isQuiet(conn net.Conn) bool {
+func IsQuiet(conn net.Conn) bool {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -26,6 +26,8 @@
 const (
 	// sweepMillis is the time between two looks at idle connections.
 	sweepMillis = 1000
+	// settleMillis is the time in which daemons that start together get to know each other.
+	settleMillis = 3000
 	// defaultIdleMillis is the time for which a client's idle connection is kept before a
 	// configuration names one.
 	defaultIdleMillis = 60 * tiller.Second
@@ -57,7 +59,7 @@
 	g.client = forwarder.New(clock, platform.RequestID)
 	incarnation := time.Now().UnixNano()
 	state := gatherer.New(gatherer.Settings{
-		VM: s.VM, Region: s.Region, Seed: xxhash.Sum64String(s.VM) + uint64(incarnation),
+		VM: s.VM, Region: s.Region, Power: s.Power, Seed: xxhash.Sum64String(s.VM) + uint64(incarnation),
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
 		ColdOverage: s.Bounds.ColdOverage, ColdSlack: s.Bounds.ColdSlack,
 	})
@@ -69,7 +71,7 @@
 	}, g.limits, g.observer.refused)
 	store := platform.NewStore(s.StoreAddress)
 	self := cataloger.Member{
-		VM: s.VM, Address: g.peerAddress(), Domain: s.Domain, Region: s.Region, Incarnation: incarnation,
+		VM: s.VM, Address: g.peerAddress(), Domain: s.Domain, Region: s.Region, Power: s.Power, Incarnation: incarnation,
 	}
 	g.announcer = follower.NewAnnouncer(store, log, self)
 	g.follower = follower.New(clock, store, g.client, log, s.Regions, self, follower.Seams{Emit: g.executor.Step, Lost: g.announcer.Lost})
@@ -120,7 +122,7 @@
 func (g *Gatekeeper) Run(ctx context.Context) error {
 	front := &http.Server{
 		Handler: g.receiver, ReadHeaderTimeout: headerMillis.Duration(), MaxHeaderBytes: headerBytes,
-		ConnState: g.connections.Track, ConnContext: func(ctx context.Context, c net.Conn) context.Context { return receiver.Mark(ctx, c) },
+		ConnState: g.connections.Track, ConnContext: receiver.Mark,
 	}
 	servers := []struct {
 		address string
@@ -128,7 +130,7 @@
 	}{
 		{g.settings.FrontAddress, front},
 		{g.settings.ReadyAddress, &http.Server{Handler: g.readiness()}},
-		{g.peerAddress(), &http.Server{Handler: g.peers()}},
+		{g.peerAddress(), &http.Server{Handler: g.peers(), ConnContext: receiver.Mark}},
 	}
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
@@ -150,6 +152,8 @@
 		close(announced)
 	}()
 	go g.sweep(background)
+	settled := time.AfterFunc(settleMillis*time.Millisecond, func() { g.executor.Step(gatherer.FleetSettled{}) })
+	defer settled.Stop()
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "serve")
--- a/gatherer/arrive.go
+++ b/gatherer/arrive.go
@@ -24,6 +24,7 @@
 	if route.Gathers() {
 		q.topK = route.TopK
 		q.needed = route.Needed()
+		q.groups = groups(len(route.Shards))
 		q.addShards(route.Shards)
 	} else {
 		q.needed = 1
@@ -53,7 +54,7 @@
 	q := &query{
 		id: e.Query, clientID: e.ID, version: s.Version(), sub: true, extra: e.Extra, arrived: now,
 		answerBy: now + max(e.Within, 1), end: now + max(e.Within, e.Left, 1),
-		topK: e.TopK, needed: max(len(e.Shards)-e.MaySkip, 0),
+		topK: e.TopK, groups: e.Groups, needed: max(len(e.Shards)-e.MaySkip, 0),
 	}
 	q.route.Name = e.Route
 	q.route.Repeatable = true
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -47,6 +47,9 @@
 	case e.Failure == nil && e.Answer.Status >= http.StatusInternalServerError:
 		stat.Failed(now, a.id)
 	case e.Failure == nil:
+		if !a.query.single() {
+			s.pauses.Record(now, &a.upstream.stalls, float64(now-a.sent), s.expected(now, a.upstream, a.query))
+		}
 		s.prior(a.upstream, a.query).Record(now, now-a.sent)
 		stat.Answered(now, a.id, e.Answer.Waiting)
 	case e.Failure.Reason == tiller.ReasonCancelled || e.Failure.Reason == tiller.ReasonTimeout:
--- a/gatherer/choose.go
+++ b/gatherer/choose.go
@@ -14,8 +14,6 @@
 	farPriorMillis = 65.0
 	// farPenaltyMillis makes up for the price of bytes between regions.
 	farPenaltyMillis = 15.0
-	// peerPriorMillis is the latency expected of a sub-query to a daemon of another region.
-	peerPriorMillis = 75.0
 	// noisePart spreads requests over candidates whose costs are about equal.
 	noisePart = 0.15
 	// crowdedMillis is the cost of a request beyond this daemon's share of the connections of an
@@ -24,8 +22,6 @@
 	// minConnections is the number of requests that a daemon may have outstanding at an upstream
 	// even when the fleet is large.
 	minConnections = 2
-	// minGroup is the number of shards from which a sub-query is worth its hop.
-	minGroup = 2
 )
 
 // priorKey names requests with about the same latency: those on one route to one region.
@@ -56,6 +52,7 @@
 // cost ranks an upstream for a query.
 func (s *State) cost(now tiller.Millis, u *upstream, q *query) float64 {
 	cost := u.stat.Cost(now, s.expected(now, u, q), u.Slots)
+	cost += s.pauses.Remaining(now, &u.stalls)
 	cost *= 1 + noisePart*s.random.Float64()
 	if u.Region != s.settings.Region {
 		cost += farPenaltyMillis
--- a/gatherer/effect.go
+++ b/gatherer/effect.go
@@ -21,12 +21,14 @@
 
 // Ask sends a sub-query for some shards of a query to another daemon.
 type Ask struct {
-	Query    uint64
-	Attempt  uint64
-	Member   cataloger.Member
-	Route    string
-	Shards   []string
-	TopK     int
+	Query   uint64
+	Attempt uint64
+	Member  cataloger.Member
+	Route   string
+	Shards  []string
+	TopK    int
+	// Groups is the number of groups that the query's shards are divided into.
+	Groups   int
 	Attempts int
 	Extra    bool
 	Avoid    []string
--- a/gatherer/evaluate.go
+++ b/gatherer/evaluate.go
@@ -52,6 +52,10 @@
 		if sh.status != shardOpen || sh.hedgeAt == 0 || sh.hedgeAt > now {
 			continue
 		}
+		if sh.asked != nil {
+			s.checkAccepted(now, sh.asked)
+			continue
+		}
 		reason := tiller.ReasonHedge
 		if sh.outstanding == 0 {
 			reason = tiller.ReasonShed
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -26,12 +26,14 @@
 
 // SubQueryArrived is the request of another daemon for some shards of a query.
 type SubQueryArrived struct {
-	Query    uint64
-	ID       string
-	Route    string
-	Digest   uint64
-	Shards   []string
-	TopK     int
+	Query  uint64
+	ID     string
+	Route  string
+	Digest uint64
+	Shards []string
+	TopK   int
+	// Groups is the number of groups that the query's shards are divided into.
+	Groups   int
 	Attempts int
 	// Extra says that the asking daemon has sent a first request for the shards already.
 	Extra bool
@@ -65,6 +67,13 @@
 	Reply   SubReply
 }
 
+// SubQueryAccepted says that another daemon has begun a sub-query.
+type SubQueryAccepted struct{ Attempt uint64 }
+
+// FleetSettled says that the daemons that start together know each other, so that connections
+// are opened ahead of requests.
+type FleetSettled struct{}
+
 // ConfigurationChanged brings a configuration into force, unless a newer one is.
 type ConfigurationChanged struct{ Configuration *cataloger.Configuration }
 
@@ -91,6 +100,8 @@
 func (QueryAbandoned) event()       {}
 func (AttemptEnded) event()         {}
 func (SubQueryEnded) event()        {}
+func (SubQueryAccepted) event()     {}
+func (FleetSettled) event()         {}
 func (ConfigurationChanged) event() {}
 func (UpstreamChanged) event()      {}
 func (UpstreamGone) event()         {}
--- a/gatherer/fleet.go
+++ b/gatherer/fleet.go
@@ -38,32 +38,48 @@
 func (s *State) changeMembers(now tiller.Millis, members []cataloger.Member) {
 	s.fleet = s.fleet.with(now, len(members))
 	peers := make(map[string]*peer, len(members))
+	byRegion := make(map[string][]*peer)
 	for _, m := range members {
 		if m.VM == s.settings.VM {
 			continue
 		}
 		p, ok := s.peers[m.VM]
 		if !ok || p.Incarnation != m.Incarnation || p.Address != m.Address {
-			p = &peer{stat: balancer.New(), way: peerWayMillis}
+			p = &peer{stat: balancer.New(), way: farWayMillis}
+			if m.Region == s.settings.Region {
+				p.way = nearWayMillis
+			}
 		}
 		p.Member = m
 		peers[m.VM] = p
+		byRegion[m.Region] = append(byRegion[m.Region], p)
 	}
-	s.peers = peers
+	s.peers, s.byRegion = peers, byRegion
+	s.gathering = make(map[groupKey][]*peer)
 	for service, b := range s.budgets {
-		s.budgets[service] = b.WithBurst(s.burst())
+		s.budgets[service] = b.WithBurst(s.burst(service))
 	}
 }
 
+// gathererPart is the part of a large fleet's slack that the daemons share that gather a shard in
+// their regions; the others ask it themselves only when those fail.
+const gathererPart = 0.5
+
 // burst returns the number of extra requests that this daemon may send to a service at once.
-func (s *State) burst() int { return max(int(s.fleet.share(s.settings.RetrySlack)), 1) }
+func (s *State) burst(service string) int {
+	if s.isGrouped(service) && s.isGatherer(service, s.groupsOf(service)) {
+		regions := len(s.byRegion) + 1
+		return max(int(s.settings.RetrySlack*gathererPart)/(gatherersPerGroup*regions), 1)
+	}
+	return max(int(s.fleet.share(s.settings.RetrySlack)), 1)
+}
 
 // budget returns the extra requests that this daemon may send to a service. A new budget starts
 // half full, because the daemon may have sent some before a restart.
 func (s *State) budget(service string) hedger.Budget {
 	b, ok := s.budgets[service]
 	if !ok {
-		burst := s.burst()
+		burst := s.burst(service)
 		b = hedger.NewBudget(int(s.settings.RetryRatio*safePart*100), burst).WithGain((burst + 1) / 2)
 	}
 	return b
--- /dev/null
+++ b/gatherer/gatherers.go
@@ -0,0 +1,161 @@
+package gatherer
+
+import (
+	"math"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+const (
+	// groupShards is the number of shards that one daemon of a region gathers in a large fleet. More
+	// make its loss dearer, fewer make more sub-queries.
+	groupShards = 24
+	// gatherersPerGroup is the number of daemons of a region that may gather a group: the first, and
+	// one at hand.
+	gatherersPerGroup = 2
+	// rankPenaltyMillis is the cost of the second daemon, whose connections are used less.
+	rankPenaltyMillis = 8.0
+	// nearPeerPriorMillis and peerPriorMillis are the latencies expected of a sub-query in the own
+	// region and to another one.
+	nearPeerPriorMillis = 30.0
+	peerPriorMillis     = 75.0
+	// nearWayMillis and farWayMillis are the times that a sub-query and its reply take before any is
+	// measured.
+	nearWayMillis = 3.0
+	farWayMillis  = 45.0
+)
+
+// groupKey names the daemons of a region that gather a group of shards.
+type groupKey struct {
+	region string
+	group  int
+}
+
+// isGrouped says whether the shards of a query are divided among the daemons of a region. With few
+// daemons each has connections enough to ask the upstreams of its region itself.
+func (s *State) isGrouped(service string) bool {
+	if s.configuration == nil {
+		return false
+	}
+	limit := s.configuration.Service(service).MaxConnections
+	return limit > 0 && s.fleet.share(float64(limit)) < minConnections
+}
+
+// groups returns the number of groups into which the shards of a query are divided.
+func groups(shards int) int { return (shards + groupShards - 1) / groupShards }
+
+// groupOf returns the group of a shard.
+func groupOf(service string, groups int) int {
+	return int(xxhash.Sum64String(service) % uint64(max(groups, 1)))
+}
+
+// gatherers returns the daemons of a region that gather a group, the first one first. The own
+// daemon is nil.
+func (s *State) gatherers(key groupKey) []*peer {
+	if known, ok := s.gathering[key]; ok {
+		return known
+	}
+	type ranked struct {
+		peer  *peer
+		score float64
+	}
+	var all []ranked
+	if key.region == s.settings.Region {
+		all = append(all, ranked{nil, gatherScore(s.settings.VM, s.settings.Power, key)})
+	}
+	for _, p := range s.peers {
+		if p.Region == key.region && !p.Leaving {
+			all = append(all, ranked{p, gatherScore(p.VM, p.Power, key)})
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].score > all[j].score })
+	first := make([]*peer, 0, gatherersPerGroup)
+	for _, r := range all[:min(len(all), gatherersPerGroup)] {
+		first = append(first, r.peer)
+	}
+	s.gathering[key] = first
+	return first
+}
+
+// gatherScore ranks a daemon for a group by weighted rendezvous hashing. The weight is the square
+// of its power, because it works for a whole region.
+func gatherScore(vm string, power int, key groupKey) float64 {
+	h := xxhash.Sum64String(vm + "\x00" + key.region + "\x00" + string(rune('a'+key.group)))
+	unit := (float64(h>>11) + 0.5) / (1 << 53)
+	weight := float64(max(power, 1))
+	return -weight * weight / math.Log(unit)
+}
+
+// isGatherer says whether this daemon gathers a shard for its region. groups is the number of
+// groups of the query that the shard belongs to.
+func (s *State) isGatherer(service string, groups int) bool {
+	if !s.isGrouped(service) {
+		return true
+	}
+	for _, p := range s.gatherers(groupKey{s.settings.Region, groupOf(service, groups)}) {
+		if p == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// peerCost ranks another daemon for a sub-query.
+func (s *State) peerCost(now tiller.Millis, p *peer) float64 {
+	return p.stat.Cost(now, s.peerPrior(p), 1) * (1 + noisePart*s.random.Float64())
+}
+
+func (s *State) peerPrior(p *peer) float64 {
+	if p.Region == s.settings.Region {
+		return nearPeerPriorMillis
+	}
+	return peerPriorMillis
+}
+
+// mayAskPeer says whether sub-queries of a query may go to another daemon.
+func (s *State) mayAskPeer(now tiller.Millis, p *peer, q *query) bool {
+	if p.Leaving || !q.route.Allows(p.Region) {
+		return false
+	}
+	return !p.stat.Stalled(now, s.peerPrior(p))
+}
+
+// rankedPeer is a daemon with its cost. A nil peer is the own daemon.
+type rankedPeer struct {
+	peer *peer
+	cost float64
+}
+
+// gathererFor returns the cheapest daemon of a region to gather a shard; false when there is none.
+// except is left out.
+func (s *State) gathererFor(now tiller.Millis, q *query, service, region string, except *peer) (rankedPeer, bool) {
+	best := rankedPeer{cost: math.Inf(1)}
+	found := false
+	for rank, p := range s.candidatesFor(q, service, region) {
+		if p == nil {
+			// The own daemon needs no hop.
+			return rankedPeer{}, true
+		}
+		if p == except || !s.mayAskPeer(now, p, q) {
+			continue
+		}
+		if cost := s.peerCost(now, p) + rankPenaltyMillis*float64(rank); cost < best.cost {
+			best, found = rankedPeer{p, cost}, true
+		}
+	}
+	return best, found
+}
+
+// candidatesFor returns the daemons of a region that may gather a shard, in the order of preference.
+func (s *State) candidatesFor(q *query, service, region string) []*peer {
+	if s.isGrouped(service) {
+		return s.gatherers(groupKey{region, groupOf(service, q.groups)})
+	}
+	if region == s.settings.Region {
+		return []*peer{nil}
+	}
+	return s.byRegion[region]
+}
--- a/gatherer/hedge.go
+++ b/gatherer/hedge.go
@@ -14,9 +14,10 @@
 	hedgeSlackMillis = 6.0
 	// shedPauseMillis is the wait before an upstream that has turned a request away is asked again.
 	shedPauseMillis = 12
-	// peerWayMillis is the time that a sub-query and its reply take between regions before any is
-	// measured.
-	peerWayMillis = 45.0
+	// acceptFactor and acceptMillis bound the time in which another daemon accepts a sub-query, as a
+	// multiple of the time on the way and a time for late timers and a busy processor.
+	acceptFactor = 1.5
+	acceptMillis = 60
 	// peerMarginMillis is kept for a reply that is late on its way.
 	peerMarginMillis = 6
 	// minPeerMillis is the least time that a daemon gets for a sub-query.
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -6,8 +6,9 @@
 	tiller "github.com/carawaytiller/carawaytiller"
 )
 
-// plan sends the first requests of a query. Shards with a good upstream in the own region are asked
-// directly. The others go in groups to daemons of regions that hold them, which merge the records
+// plan sends the first requests of a query. In a small fleet shards with a good upstream in the own
+// region are asked directly, in a large one the shards of a group are gathered by one daemon of the
+// region. The rest goes in groups to daemons of regions that hold them, which merge the records
 // there: this saves most bytes between regions, and those daemons have warm connections.
 func (s *State) plan(now tiller.Millis, q *query) {
 	if q.single() || q.sub {
@@ -16,11 +17,16 @@
 		}
 		return
 	}
+	s.sendGroups(now, q, q.shards, nil)
+}
+
+// sendGroups sends the first requests of some shards. The daemon except is left out.
+func (s *State) sendGroups(now tiller.Millis, q *query, shards []*shard, except *peer) {
 	groups := make(map[*peer][]*shard)
 	var order []*peer
-	peers := s.bestPeers(now, q)
-	for _, sh := range q.shards {
-		p := s.peerFor(now, sh, peers)
+	known := make(map[groupKey]rankedPeer)
+	for _, sh := range shards {
+		p := s.peerFor(now, sh, known, except)
 		if p == nil {
 			s.sendFirst(now, sh)
 			continue
@@ -31,84 +37,64 @@
 		groups[p] = append(groups[p], sh)
 	}
 	for _, p := range order {
-		if len(groups[p]) < minGroup {
-			for _, sh := range groups[p] {
-				s.sendFirst(now, sh)
+		extra := false
+		limit := q.route.Attempts
+		for _, sh := range groups[p] {
+			if sh.arrivals > 0 {
+				extra = s.pay(sh)
 			}
-			continue
+			limit = min(limit, q.route.Attempts-sh.ran)
 		}
-		s.ask(now, q, p, groups[p], q.route.Attempts, false)
+		s.ask(now, q, p, groups[p], limit, extra)
 	}
 }
 
-// rankedPeer is the best daemon of a region with its cost.
-type rankedPeer struct {
-	peer *peer
-	cost float64
-}
-
-// bestPeers returns the cheapest daemon of each other region in which the query may be served.
-func (s *State) bestPeers(now tiller.Millis, q *query) map[string]rankedPeer {
-	best := make(map[string]rankedPeer)
-	for _, p := range s.peers {
-		if !s.mayAskPeer(now, p, q) {
+// peerFor returns the daemon that gathers a shard for this one; nil when it is asked directly.
+// known holds the daemons chosen so far for the query, so that its shards meet on few.
+func (s *State) peerFor(now tiller.Millis, sh *shard, known map[groupKey]rankedPeer, except *peer) *peer {
+	q := sh.query
+	best := rankedPeer{cost: math.Inf(1)}
+	for _, u := range s.services[sh.service] {
+		if !s.isUsable(u, q.route) || u.isDown(now) || now < u.cold.until {
 			continue
 		}
-		cost := p.stat.Cost(now, peerPriorMillis, 1) * (1 + noisePart*s.random.Float64())
-		if known, ok := best[p.Region]; !ok || cost < known.cost || cost == known.cost && p.VM < known.peer.VM {
-			best[p.Region] = rankedPeer{peer: p, cost: cost}
+		key := groupKey{u.Region, groupOf(sh.service, q.groups)}
+		p, ok := known[key]
+		if !ok {
+			p, ok = s.gathererFor(now, q, sh.service, u.Region, except)
+			if !ok {
+				continue
+			}
+			known[key] = p
 		}
-	}
-	return best
-}
-
-// mayAskPeer says whether sub-queries of a query may go to another daemon.
-func (s *State) mayAskPeer(now tiller.Millis, p *peer, q *query) bool {
-	if p.Region == s.settings.Region || p.Leaving || !q.route.Allows(p.Region) {
-		return false
-	}
-	return !p.stat.Stalled(now, peerPriorMillis)
-}
-
-// peerNear returns the cheapest daemon of the region of an upstream of another region; nil when
-// it is to be asked directly. Daemons there have warm connections to it.
-func (s *State) peerNear(now tiller.Millis, u *upstream, q *query) *peer {
-	if q.single() || q.extra || u.Region == s.settings.Region {
-		return nil
-	}
-	var best *peer
-	cost := 0.0
-	for _, p := range s.peers {
-		if p.Region != u.Region || !s.mayAskPeer(now, p, q) {
-			continue
+		cost := p.cost
+		if p.peer == nil {
+			cost = s.cost(now, u, q)
+		} else if u.Region != s.settings.Region {
+			cost += farPenaltyMillis
 		}
-		c := p.stat.Cost(now, peerPriorMillis, 1) * (1 + noisePart*s.random.Float64())
-		if best == nil || c < cost {
-			best, cost = p, c
+		if cost < best.cost {
+			best = rankedPeer{p.peer, cost}
 		}
 	}
-	return best
-}
-
-// peerFor returns the daemon that gathers a shard for this one; nil when it is asked directly.
-func (s *State) peerFor(now tiller.Millis, sh *shard, peers map[string]rankedPeer) *peer {
-	near, far := s.best(now, sh, false)
-	var chosen rankedPeer
-	chosen.cost = math.Inf(1)
-	for _, u := range s.services[sh.service] {
-		p, ok := peers[u.Region]
-		if ok && p.cost < chosen.cost && s.isUsable(u, sh.query.route) && !u.isDown(now) && now >= u.cold.until {
-			chosen = p
-		}
+	if best.peer == nil || s.isGrouped(sh.service) {
+		return best.peer
 	}
-	if chosen.peer == nil || near.cost <= min(chosen.cost+farPenaltyMillis, far.cost) {
+	// A daemon that serves far worse than the way across is avoided.
+	if _, far := s.best(now, sh, false); far.upstream != nil && best.cost > 2*far.cost+farPenaltyMillis {
 		return nil
 	}
-	// A daemon that serves far worse than the way across is avoided.
-	if far.upstream != nil && chosen.cost > 2*far.cost+farPenaltyMillis {
+	return best.peer
+}
+
+// peerNear returns the daemon through which an upstream of another region is asked; nil when it is
+// asked directly. Daemons there have warm connections to it.
+func (s *State) peerNear(now tiller.Millis, u *upstream, q *query) *peer {
+	if q.single() || q.extra || u.Region == s.settings.Region {
 		return nil
 	}
-	return chosen.peer
+	p, _ := s.gathererFor(now, q, u.Service, u.Region, nil)
+	return p.peer
 }
 
 // sendFirst sends the first request of a shard.
@@ -118,6 +104,10 @@
 		sh.lose(tiller.ReasonNoUpstream)
 		return
 	}
+	if p := s.peerNear(now, u, sh.query); p != nil && s.isGrouped(sh.service) {
+		s.ask(now, sh.query, p, []*shard{sh}, sh.query.route.Attempts-sh.ran, false)
+		return
+	}
 	s.send(now, sh, u, s.pay(sh))
 }
 
@@ -174,7 +164,7 @@
 // ask sends a sub-query for several shards to another daemon, which may send each to limit upstreams.
 func (s *State) ask(now tiller.Millis, q *query, p *peer, shards []*shard, limit int, extra bool) {
 	s.lastAttempt++
-	mean := p.stat.Mean(now, peerPriorMillis)
+	mean := p.stat.Mean(now, s.peerPrior(p))
 	a := &attempt{
 		id: s.lastAttempt, query: q, shards: shards, peer: p, limit: limit, extra: extra, sent: now,
 		expected: tiller.Millis(mean),
@@ -183,10 +173,12 @@
 	q.attempts = append(q.attempts, a.id)
 	effect := Ask{
 		Query: q.id, Attempt: a.id, Member: p.Member, Route: q.route.Name, TopK: q.topK,
-		Attempts: limit, Extra: extra, Regions: q.route.Regions, MaySkip: len(q.shards) - q.needed,
+		Groups: q.groups, Attempts: limit, Extra: extra, Regions: q.route.Regions, MaySkip: len(q.shards) - q.needed,
 		Within: q.within(now, p), Left: max(q.end-now-tiller.Millis(p.way/2), minPeerMillis),
 	}
+	accept := now + tiller.Millis(acceptFactor*p.way) + acceptMillis
 	for _, sh := range shards {
+		sh.hedgeAt, sh.asked = accept, a
 		effect.Shards = append(effect.Shards, sh.service)
 		for _, u := range sh.tried {
 			effect.Avoid = append(effect.Avoid, u.ID)
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -27,6 +27,8 @@
 	sent   int
 	wakeAt tiller.Millis
 	topK   int
+	// groups is the number of groups that the shards are divided into.
+	groups int
 	// merged holds the records of sub-queries, each merged from several parts.
 	merged   [][]byte
 	attempts []uint64
@@ -46,6 +48,8 @@
 	outstanding int
 	// hedgeAt is the time at which a further request is due.
 	hedgeAt tiller.Millis
+	// asked is the sub-query that the shard is part of; nil when there is none.
+	asked *attempt
 	// counted says that the shard's first request has added to the budget, here or elsewhere.
 	counted bool
 	// arrivals is the number of requests that may have arrived at an upstream.
@@ -74,8 +78,12 @@
 	peer     *peer
 	// limit is the number of upstreams of each shard that a sub-query may be sent to.
 	limit int
+	// late is the part of the limit that a sub-query that was not accepted in time did not use.
+	late int
 	// extra says that the attempt was paid for from the budget.
-	extra    bool
+	extra bool
+	// accepted says that the other daemon has begun the sub-query.
+	accepted bool
 	sent     tiller.Millis
 	expected tiller.Millis
 }
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -12,10 +12,36 @@
 // warmConnections is the number of connections that are opened to a new upstream of the own region.
 const warmConnections = 2
 
+// settle opens connections ahead of the first requests.
+func (s *State) settle() {
+	s.settled = true
+	for _, u := range s.upstreams {
+		s.warm(u)
+	}
+}
+
+// warm opens connections to an upstream that this daemon is going to ask.
+func (s *State) warm(u *upstream) {
+	if u.Region != s.settings.Region || u.Draining || !s.isGatherer(u.Service, s.groupsOf(u.Service)) {
+		return
+	}
+	s.emit(Warm{Upstream: u.Upstream, Connections: warmConnections})
+}
+
+// groupsOf returns the number of groups of the route that a shard belongs to.
+func (s *State) groupsOf(service string) int {
+	if s.configuration == nil {
+		return 1
+	}
+	return groups(s.configuration.ShardsWith(service))
+}
+
 // Settings are fixed for the life of a State.
 type Settings struct {
 	VM     string
 	Region string
+	// Power is the processor share of the VM in thousandths of a core; it ranks daemons.
+	Power int
 	// Seed starts the random numbers that break ties.
 	Seed uint64
 	// RetryRatio and RetrySlack bound the extra requests of the whole fleet to one service:
@@ -37,24 +63,29 @@
 	services      map[string][]*upstream
 	evacuated     map[string]bool
 	peers         map[string]*peer
+	byRegion      map[string][]*peer
+	gathering     map[groupKey][]*peer
 	fleet         fleet
 	queries       map[uint64]*query
 	attempts      map[uint64]*attempt
 	lastAttempt   uint64
+	settled       bool
 	wakes         wakes
 	budgets       map[string]hedger.Budget
 	splits        map[string]*split
 	deadlines     map[string]*commonDeadline
 	priors        map[priorKey]*hedger.Latency
+	pauses        *balancer.Pauses
 	effects       []Effect
 }
 
 // upstream is an upstream with what is known of it.
 type upstream struct {
 	cataloger.Upstream
-	stat *balancer.Stat
-	cold coldAllowance
-	down down
+	stat   *balancer.Stat
+	stalls balancer.Stalls
+	cold   coldAllowance
+	down   down
 	// misdirected says that another process answered at the address.
 	misdirected bool
 }
@@ -76,12 +107,14 @@
 		services:  make(map[string][]*upstream),
 		evacuated: make(map[string]bool),
 		peers:     make(map[string]*peer),
+		gathering: make(map[groupKey][]*peer),
 		queries:   make(map[uint64]*query),
 		attempts:  make(map[uint64]*attempt),
 		budgets:   make(map[string]hedger.Budget),
 		splits:    make(map[string]*split),
 		deadlines: make(map[string]*commonDeadline),
 		priors:    make(map[priorKey]*hedger.Latency),
+		pauses:    balancer.NewPauses(),
 	}
 }
 
@@ -100,6 +133,10 @@
 		s.endAttempt(now, e)
 	case SubQueryEnded:
 		s.endSubQuery(now, e)
+	case SubQueryAccepted:
+		s.acceptSub(e)
+	case FleetSettled:
+		s.settle()
 	case ConfigurationChanged:
 		s.adopt(e.Configuration)
 	case UpstreamChanged:
@@ -153,8 +190,8 @@
 	added.cold.until = coldUntil(now, 0, u.Cold)
 	s.upstreams[u.ID] = added
 	s.services[u.Service] = append(s.services[u.Service], added)
-	if u.Region == s.settings.Region && !u.Draining {
-		s.emit(Warm{Upstream: u, Connections: warmConnections})
+	if s.settled {
+		s.warm(added)
 	}
 }
 
--- a/gatherer/subquery.go
+++ b/gatherer/subquery.go
@@ -18,7 +18,8 @@
 	s.measurePeer(now, a, e)
 	q := a.query
 	for _, sh := range a.shards {
-		sh.outstanding -= a.limit
+		sh.outstanding -= a.limit + a.late
+		sh.asked, sh.hedgeAt = nil, 0
 	}
 	if q.ended {
 		return
@@ -51,6 +52,30 @@
 	}
 }
 
+// acceptSub notes that another daemon has begun a sub-query.
+func (s *State) acceptSub(e SubQueryAccepted) {
+	if a, ok := s.attempts[e.Attempt]; ok {
+		a.accepted = true
+	}
+}
+
+// checkAccepted replaces a sub-query that was not accepted in time. A daemon that stands still has
+// not sent any request, and finds its connection closed when it goes on. One that is only late has
+// sent at most one for each shard.
+func (s *State) checkAccepted(now tiller.Millis, a *attempt) {
+	for _, sh := range a.shards {
+		sh.hedgeAt = 0
+	}
+	if a.accepted {
+		return
+	}
+	s.emit(Cancel{Attempt: a.id})
+	a.limit, a.late = 1, a.limit-1
+	s.endSubQuery(now, SubQueryEnded{
+		Attempt: a.id, Failure: tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonSilent, nil),
+	})
+}
+
 // acceptReply takes the parts of a reply. Its records are merged and cannot be taken apart, so a
 // part that came directly meanwhile gives way to that of the reply.
 func (s *State) acceptReply(now tiller.Millis, a *attempt, r SubReply) {
@@ -119,12 +144,19 @@
 		s.refund(a)
 	}
 	a.query.note(now, a, reason)
+	var again []*shard
 	for _, sh := range a.shards {
 		sh.ran += ran
-		if sh.status == shardOpen && sh.outstanding == 0 {
-			s.restart(now, sh, reason)
+		if sh.status != shardOpen || sh.outstanding > 0 {
+			continue
+		}
+		if !sh.mayAsk() || sh.arrivals > 0 && !s.budget(sh.service).Allows(1) {
+			sh.lose(reason)
+			continue
 		}
+		again = append(again, sh)
 	}
+	s.sendGroups(now, a.query, again, a.peer)
 	s.evaluate(now, a.query)
 }
 
--- a/gatherer/world_test.go
+++ b/gatherer/world_test.go
@@ -370,8 +370,11 @@
 		peer.asker[query] = func(r gatherer.SubReply) {
 			w.after(way(d.region, peer.region), func() { end(gatherer.SubQueryEnded{Reply: r}) })
 		}
+		if !peer.dead {
+			w.after(way(d.region, peer.region), func() { w.step(d, gatherer.SubQueryAccepted{Attempt: e.Attempt}) })
+		}
 		w.step(peer, gatherer.SubQueryArrived{
-			Query: query, ID: "sub of " + id, Route: e.Route, Shards: e.Shards, TopK: e.TopK, Attempts: e.Attempts,
+			Query: query, ID: "sub of " + id, Route: e.Route, Shards: e.Shards, TopK: e.TopK, Groups: e.Groups, Attempts: e.Attempts,
 			Extra: e.Extra, Avoid: e.Avoid, Regions: e.Regions, MaySkip: e.MaySkip, Within: e.Within, Left: e.Left,
 		})
 	})
--- a/receiver/peer.go
+++ b/receiver/peer.go
@@ -28,8 +28,14 @@
 	if m.Request.Header == nil {
 		m.Request.Header = make(http.Header)
 	}
+	// The header tells the asking daemon that this one is at work. A daemon that stood still meanwhile
+	// finds that the other has gone, and must send nothing.
+	w.Header().Set("Content-Type", "application/cbor")
+	if err := http.NewResponseController(w).Flush(); err != nil || hasLeft(r.Context()) {
+		return
+	}
 	t := h.executor.SubmitSub(m.Request, gatherer.SubQueryArrived{
-		Route: m.Route, Shards: m.Shards, TopK: m.TopK, Attempts: m.Attempts, Extra: m.Extra, Avoid: m.Avoid, Regions: m.Regions,
+		Route: m.Route, Shards: m.Shards, TopK: m.TopK, Groups: m.Groups, Attempts: m.Attempts, Extra: m.Extra, Avoid: m.Avoid, Regions: m.Regions,
 		MaySkip: m.MaySkip, Within: m.Within, Left: m.Left,
 	})
 	select {
@@ -40,15 +46,17 @@
 	}
 }
 
+// writeSubReply writes the reply; a query that was refused has none of its shards.
 func writeSubReply(w http.ResponseWriter, o executor.Outcome) {
-	if o.Sub == nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+	reply := gatherer.SubReply{NoCapacity: true}
+	if o.Sub != nil {
+		reply = *o.Sub
 	}
-	body, err := cbor.Marshal(o.Sub)
+	body, err := cbor.Marshal(reply)
 	if err != nil {
-		http.Error(w, "the reply cannot be encoded", http.StatusInternalServerError)
-		return
+		// The other daemon takes the connection's end for a failure.
+		panic(http.ErrAbortHandler)
 	}
-	writeBody(w, http.StatusOK, "application/cbor", body)
+	// The asking daemon has gone when this fails; its context ends too.
+	_, _ = w.Write(body)
 }
