--- a/balancer/pause.go
+++ b/balancer/pause.go
@@ -13,6 +13,8 @@
 	stallFactor = 3.0
 	// sameMillis is the time within which delayed answers end the same pause.
 	sameMillis = 150
+	// slowMillis is the time for which an upstream counts as slow after two delays in short order.
+	slowMillis = 1500
 	// keptEnds bounds the ends of pauses that are kept for an upstream.
 	keptEnds = 6
 	// binMillis is the width in which distances between pauses are counted together.
@@ -51,7 +53,11 @@
 }
 
 // Stalls holds the ends of the pauses of one upstream, newest last.
-type Stalls struct{ ends []stallEnd }
+type Stalls struct {
+	ends []stallEnd
+	// slowUntil is the time until which delays are put down to a slow upstream.
+	slowUntil tiller.Millis
+}
 
 type stallEnd struct {
 	at        tiller.Millis
@@ -69,7 +75,14 @@
 	if took < stallMillis || took < stallFactor*usual {
 		return
 	}
-	if last := len(s.ends) - 1; last >= 0 && now-s.ends[last].at < sameMillis {
+	if last := len(s.ends) - 1; last >= 0 && now-s.ends[last].at < minPeriodMillis {
+		if now-s.ends[last].at >= sameMillis {
+			s.slow(now)
+		}
+		return
+	}
+	if now < s.slowUntil {
+		s.slow(now)
 		return
 	}
 	end := stallEnd{at: now}
@@ -90,6 +103,14 @@
 	}
 }
 
+// slow notes that an upstream is slow and does not only pause: its last end says nothing.
+func (s *Stalls) slow(now tiller.Millis) {
+	if now >= s.slowUntil {
+		s.ends = s.ends[:len(s.ends)-1]
+	}
+	s.slowUntil = now + slowMillis
+}
+
 // learnLength keeps about the longest delay, which is that of a request sent as the pause began.
 func (p *Pauses) learnLength(delay float64) {
 	if delay > p.length {
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -59,7 +59,7 @@
 	g.client = forwarder.New(clock, platform.RequestID)
 	incarnation := time.Now().UnixNano()
 	state := gatherer.New(gatherer.Settings{
-		VM: s.VM, Region: s.Region, Power: s.Power, Seed: xxhash.Sum64String(s.VM) + uint64(incarnation),
+		VM: s.VM, Domain: s.Domain, Region: s.Region, Power: s.Power, Seed: xxhash.Sum64String(s.VM) + uint64(incarnation),
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
 		ColdOverage: s.Bounds.ColdOverage, ColdSlack: s.Bounds.ColdSlack,
 	})
--- a/gatherer/fleet.go
+++ b/gatherer/fleet.go
@@ -61,15 +61,14 @@
 	}
 }
 
-// gathererPart is the part of a large fleet's slack that the daemons share that gather a shard in
-// their regions; the others ask it themselves only when those fail.
+// gathererPart is the part of a large fleet's slack that the daemons share that gather a shard
+// near its upstreams; the others ask it themselves only when those fail.
 const gathererPart = 0.5
 
 // burst returns the number of extra requests that this daemon may send to a service at once.
 func (s *State) burst(service string) int {
 	if s.isGrouped(service) && s.isGatherer(service, s.groupsOf(service)) {
-		regions := len(s.byRegion) + 1
-		return max(int(s.settings.RetrySlack*gathererPart)/(gatherersPerGroup*regions), 1)
+		return max(int(s.settings.RetrySlack*gathererPart)/max(gatherersPerGroup*len(s.services[service]), 1), 1)
 	}
 	return max(int(s.fleet.share(s.settings.RetrySlack)), 1)
 }
--- a/gatherer/gatherers.go
+++ b/gatherer/gatherers.go
@@ -10,11 +10,12 @@
 )
 
 const (
-	// groupShards is the number of shards that one daemon of a region gathers in a large fleet. More
-	// make its loss dearer, fewer make more sub-queries.
-	groupShards = 24
-	// gatherersPerGroup is the number of daemons of a region that may gather a group: the first, and
-	// one at hand.
+	// groupShards is the number of a query's shards that make one more group in each failure domain
+	// of a large fleet. More shards in a group make the loss of its daemon dearer, fewer make more
+	// sub-queries.
+	groupShards = 48
+	// gatherersPerGroup is the number of daemons of a failure domain that may gather a group: the
+	// first, and one at hand.
 	gatherersPerGroup = 2
 	// rankPenaltyMillis is the cost of the second daemon, whose connections are used less.
 	rankPenaltyMillis = 8.0
@@ -28,9 +29,10 @@
 	farWayMillis  = 45.0
 )
 
-// groupKey names the daemons of a region that gather a group of shards.
+// groupKey names the daemons of a failure domain that gather a group of the shards that have an
+// upstream there, so that the parts stay in the domain.
 type groupKey struct {
-	region string
+	domain string
 	group  int
 }
 
@@ -52,7 +54,7 @@
 	return int(xxhash.Sum64String(service) % uint64(max(groups, 1)))
 }
 
-// gatherers returns the daemons of a region that gather a group, the first one first. The own
+// gatherers returns the daemons of a failure domain that gather a group, the first one first. The own
 // daemon is nil.
 func (s *State) gatherers(key groupKey) []*peer {
 	if known, ok := s.gathering[key]; ok {
@@ -63,11 +65,11 @@
 		score float64
 	}
 	var all []ranked
-	if key.region == s.settings.Region {
+	if key.domain == s.settings.Domain {
 		all = append(all, ranked{nil, gatherScore(s.settings.VM, s.settings.Power, key)})
 	}
 	for _, p := range s.peers {
-		if p.Region == key.region && !p.Leaving {
+		if p.Domain == key.domain && !p.Leaving {
 			all = append(all, ranked{p, gatherScore(p.VM, p.Power, key)})
 		}
 	}
@@ -81,21 +83,21 @@
 }
 
 // gatherScore ranks a daemon for a group by weighted rendezvous hashing. The weight is the square
-// of its power, because it works for a whole region.
+// of its power, because it works for a whole domain.
 func gatherScore(vm string, power int, key groupKey) float64 {
-	h := xxhash.Sum64String(vm + "\x00" + key.region + "\x00" + string(rune('a'+key.group)))
+	h := xxhash.Sum64String(vm + "\x00" + key.domain + "\x00" + string(rune('a'+key.group)))
 	unit := (float64(h>>11) + 0.5) / (1 << 53)
 	weight := float64(max(power, 1))
 	return -weight * weight / math.Log(unit)
 }
 
-// isGatherer says whether this daemon gathers a shard for its region. groups is the number of
-// groups of the query that the shard belongs to.
+// isGatherer says whether this daemon gathers a shard whose upstream is in its failure domain.
+// groups is the number of groups of the query that the shard belongs to.
 func (s *State) isGatherer(service string, groups int) bool {
 	if !s.isGrouped(service) {
 		return true
 	}
-	for _, p := range s.gatherers(groupKey{s.settings.Region, groupOf(service, groups)}) {
+	for _, p := range s.gatherers(groupKey{s.settings.Domain, groupOf(service, groups)}) {
 		if p == nil {
 			return true
 		}
@@ -129,12 +131,12 @@
 	cost float64
 }
 
-// gathererFor returns the cheapest daemon of a region to gather a shard; false when there is none.
-// except is left out.
-func (s *State) gathererFor(now tiller.Millis, q *query, service, region string, except *peer) (rankedPeer, bool) {
+// gathererFor returns the cheapest daemon to gather the shard that an upstream serves; false when
+// there is none. except is left out.
+func (s *State) gathererFor(now tiller.Millis, q *query, u *upstream, except *peer) (rankedPeer, bool) {
 	best := rankedPeer{cost: math.Inf(1)}
 	found := false
-	for rank, p := range s.candidatesFor(q, service, region) {
+	for rank, p := range s.candidatesFor(q, u) {
 		if p == nil {
 			// The own daemon needs no hop.
 			return rankedPeer{}, true
@@ -149,13 +151,14 @@
 	return best, found
 }
 
-// candidatesFor returns the daemons of a region that may gather a shard, in the order of preference.
-func (s *State) candidatesFor(q *query, service, region string) []*peer {
-	if s.isGrouped(service) {
-		return s.gatherers(groupKey{region, groupOf(service, q.groups)})
+// candidatesFor returns the daemons that may gather the shard that an upstream serves, in the order
+// of preference.
+func (s *State) candidatesFor(q *query, u *upstream) []*peer {
+	if s.isGrouped(u.Service) {
+		return s.gatherers(groupKey{u.Domain, groupOf(u.Service, q.groups)})
 	}
-	if region == s.settings.Region {
+	if u.Region == s.settings.Region {
 		return []*peer{nil}
 	}
-	return s.byRegion[region]
+	return s.byRegion[u.Region]
 }
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -11,7 +11,7 @@
 // region. The rest goes in groups to daemons of regions that hold them, which merge the records
 // there: this saves most bytes between regions, and those daemons have warm connections.
 func (s *State) plan(now tiller.Millis, q *query) {
-	if q.single() || q.sub {
+	if q.single() || q.extra {
 		for _, sh := range q.shards {
 			s.sendFirst(now, sh)
 		}
@@ -26,7 +26,12 @@
 	var order []*peer
 	known := make(map[groupKey]rankedPeer)
 	for _, sh := range shards {
-		p := s.peerFor(now, sh, known, except)
+		var p *peer
+		if q.sub {
+			p = s.detour(now, sh)
+		} else {
+			p = s.peerFor(now, sh, known, except)
+		}
 		if p == nil {
 			s.sendFirst(now, sh)
 			continue
@@ -58,10 +63,10 @@
 		if !s.isUsable(u, q.route) || u.isDown(now) || now < u.cold.until {
 			continue
 		}
-		key := groupKey{u.Region, groupOf(sh.service, q.groups)}
+		key := groupKey{u.Domain, groupOf(sh.service, q.groups)}
 		p, ok := known[key]
 		if !ok {
-			p, ok = s.gathererFor(now, q, sh.service, u.Region, except)
+			p, ok = s.gathererFor(now, q, u, except)
 			if !ok {
 				continue
 			}
@@ -93,10 +98,19 @@
 	if q.single() || q.extra || u.Region == s.settings.Region {
 		return nil
 	}
-	p, _ := s.gathererFor(now, q, u.Service, u.Region, nil)
+	p, _ := s.gathererFor(now, q, u, nil)
 	return p.peer
 }
 
+// detour returns the daemon of another region that a gatherer hands a shard to, because the upstream
+// of the own region pauses or is slow; nil when the shard is asked directly.
+func (s *State) detour(now tiller.Millis, sh *shard) *peer {
+	if u := s.next(now, sh); u != nil {
+		return s.peerNear(now, u, sh.query)
+	}
+	return nil
+}
+
 // sendFirst sends the first request of a shard.
 func (s *State) sendFirst(now tiller.Millis, sh *shard) {
 	u := s.next(now, sh)
@@ -104,10 +118,6 @@
 		sh.lose(tiller.ReasonNoUpstream)
 		return
 	}
-	if p := s.peerNear(now, u, sh.query); p != nil && s.isGrouped(sh.service) {
-		s.ask(now, sh.query, p, []*shard{sh}, sh.query.route.Attempts-sh.ran, false)
-		return
-	}
 	s.send(now, sh, u, s.pay(sh))
 }
 
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -22,7 +22,7 @@
 
 // warm opens connections to an upstream that this daemon is going to ask.
 func (s *State) warm(u *upstream) {
-	if u.Region != s.settings.Region || u.Draining || !s.isGatherer(u.Service, s.groupsOf(u.Service)) {
+	if u.Region != s.settings.Region || u.Draining || s.isGrouped(u.Service) && u.Domain != s.settings.Domain || !s.isGatherer(u.Service, s.groupsOf(u.Service)) {
 		return
 	}
 	s.emit(Warm{Upstream: u.Upstream, Connections: warmConnections})
@@ -39,6 +39,7 @@
 // Settings are fixed for the life of a State.
 type Settings struct {
 	VM     string
+	Domain string
 	Region string
 	// Power is the processor share of the VM in thousandths of a core; it ranks daemons.
 	Power int
