--- /dev/null
+++ b/balancer/pause_test.go
@@ -0,0 +1,96 @@
+package balancer_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/balancer"
+)
+
+const (
+	testPeriod = 6000
+	testLength = 250
+)
+
+// play lets upstreams with a pause each testPeriod answer requests until a time. slow upstreams take
+// slowMillis for every request.
+func play(p *balancer.Pauses, r *rand.Rand, stalls []balancer.Stalls, phases []tiller.Millis, slow int, until tiller.Millis) {
+	for now := tiller.Millis(1); now < until; now += 5 {
+		i := r.IntN(len(stalls))
+		took := 8 + tiller.Millis(r.IntN(8))
+		if i < slow {
+			took = 90 + tiller.Millis(r.IntN(40))
+		}
+		if phase := (now + phases[i]) % testPeriod; phase < testLength {
+			took += testLength - phase
+		}
+		p.Record(now+took, &stalls[i], float64(took), 12)
+	}
+}
+
+func newPhases(r *rand.Rand, n int) []tiller.Millis {
+	phases := make([]tiller.Millis, n)
+	for i := range phases {
+		phases[i] = tiller.Millis(r.IntN(testPeriod))
+	}
+	return phases
+}
+
+// Without a prediction, nearly every query over 90 shards meets a pause.
+func TestPausesArePredicted(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	phases, stalls, p := newPhases(r, 20), make([]balancer.Stalls, 20), balancer.NewPauses()
+	const until = 20000
+	play(p, r, stalls, phases, 0, until)
+	require.InDelta(t, testPeriod, float64(p.Period()), 30)
+	hit, pausing, wrong, serving := 0, 0, 0, 0
+	for at := tiller.Millis(until); at < until+testPeriod; at += 10 {
+		for i := range stalls {
+			predicted := p.Remaining(at, &stalls[i]) > 0
+			if (at+phases[i])%testPeriod < testLength {
+				pausing++
+				if predicted {
+					hit++
+				}
+			} else {
+				serving++
+				if predicted {
+					wrong++
+				}
+			}
+		}
+	}
+	require.GreaterOrEqual(t, float64(hit), 0.85*float64(pausing))
+	require.LessOrEqual(t, float64(wrong), 0.03*float64(serving))
+}
+
+// Slow upstreams delay every answer. They must not be taken for upstreams that pause, nor elect a
+// period.
+func TestSlowUpstreamsElectNoPeriod(t *testing.T) {
+	r := rand.New(rand.NewPCG(2, 2))
+	phases, stalls, p := newPhases(r, 20), make([]balancer.Stalls, 20), balancer.NewPauses()
+	play(p, r, stalls, phases, 5, 30000)
+	require.InDelta(t, testPeriod, float64(p.Period()), 30)
+	for i := range 5 {
+		predicted := 0
+		for at := tiller.Millis(30000); at < 36000; at += 10 {
+			if p.Remaining(at, &stalls[i]) > 0 {
+				predicted++
+			}
+		}
+		require.LessOrEqual(t, predicted, 600/4, "upstream %d", i)
+	}
+}
+
+// Delays at random times have no period.
+func TestRandomDelaysElectNoPeriod(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 3))
+	stalls, p := make([]balancer.Stalls, 20), balancer.NewPauses()
+	for now := tiller.Millis(1); now < 40000; now += 20 + tiller.Millis(r.IntN(400)) {
+		p.Record(now, &stalls[r.IntN(len(stalls))], 150, 12)
+	}
+	require.Zero(t, p.Period())
+}
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,201 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/forwarder"
+)
+
+// upstream answers each request on a connection with the next of its replies; "close" ends the
+// connection, "hang" waits until it ends.
+type upstream struct {
+	address     string
+	connections atomic.Int64
+	requests    atomic.Int64
+}
+
+func newUpstream(t *testing.T, replies ...string) *upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	u := &upstream{address: l.Addr().String()}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.connections.Add(1)
+			go u.serve(conn, replies)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) serve(conn net.Conn, replies []string) {
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		n := int(u.requests.Add(1))
+		reply := replies[min(n, len(replies))-1]
+		switch reply {
+		case "close":
+			return
+		case "hang":
+			_, _ = r.ReadByte()
+			return
+		}
+		reply = strings.ReplaceAll(reply, "ID", req.Header.Get("Id"))
+		if _, err := conn.Write([]byte(reply)); err != nil || strings.Contains(reply, "cut") {
+			return
+		}
+	}
+}
+
+func newClient() *forwarder.Client {
+	return forwarder.New(tiller.SystemClock(), func(h http.Header) string { return h.Get("Id") })
+}
+
+func (u *upstream) request(id string) forwarder.Request {
+	return forwarder.Request{
+		Address: u.address, Key: "u", Method: "GET", URI: "/a%2Fb?c", Host: "h", Header: http.Header{"Id": {id}}, ID: id,
+	}
+}
+
+const whole = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 4\r\n\r\nbody"
+
+// Each answer is either whole and the request's own, or a failure that says whether it may have run.
+func TestDo(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		reply  string
+		body   string
+		reason tiller.Reason
+		reused bool
+	}{
+		{"whole", whole, "body", "", true},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "body", "", true},
+		{"no length, ends with the connection", "HTTP/1.1 200 OK\r\nX: cut\r\n\r\nbody", "body", "", false},
+		{"closes after the answer", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody", "body", "", false},
+		{"interim answer first", "HTTP/1.1 103 Early Hints\r\n\r\n" + whole, "body", "", true},
+		{"bytes beyond the answer", whole + whole, "body", "", false},
+		{"another request's answer", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 4\r\n\r\nbody", "", tiller.ReasonMismatch, false},
+		{"shorter than announced", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nX: cut\r\n\r\nbody", "", tiller.ReasonConnectionLost, false},
+		{"chunks that do not end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX: cut\r\n\r\n4\r\nbody\r\n", "", tiller.ReasonConnectionLost, false},
+		{"no answer at all", "\x00\x01cut\r\n\r\n", "", tiller.ReasonConnectionLost, false},
+		{"closed", "close", "", tiller.ReasonConnectionLost, false},
+	} {
+		u, c := newUpstream(t, tt.reply, whole), newClient()
+		resp, failure := c.Do(context.Background(), u.request("1"))
+		if tt.reason != "" {
+			require.NotNil(t, failure, tt.name)
+			require.Equal(t, tt.reason, failure.Reason, tt.name)
+			require.Equal(t, tiller.MayHaveRun, failure.Verdict, tt.name)
+		} else {
+			require.Nil(t, failure, tt.name)
+			require.Equal(t, tt.body, string(resp.Body), tt.name)
+		}
+		resp, failure = c.Do(context.Background(), u.request("2"))
+		require.Nil(t, failure, tt.name)
+		require.Equal(t, "body", string(resp.Body), tt.name)
+		require.Equal(t, tt.reused, u.connections.Load() == 1, tt.name)
+		require.Equal(t, tt.reused, !resp.Opened, tt.name)
+	}
+}
+
+func TestRefusedConnectionHasNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	u := &upstream{address: l.Addr().String()}
+	_, failure := newClient().Do(context.Background(), u.request("1"))
+	require.Equal(t, tiller.ReasonConnectFailed, failure.Reason)
+	require.Equal(t, tiller.NotRun, failure.Verdict)
+}
+
+// A request that is given up must be cancelled at its upstream, which sees the connection close.
+func TestCancelClosesTheConnection(t *testing.T) {
+	u, c := newUpstream(t, "hang", whole), newClient()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, failure := c.Do(ctx, u.request("1"))
+	require.Equal(t, tiller.ReasonTimeout, failure.Reason)
+	require.Equal(t, tiller.MayHaveRun, failure.Verdict)
+	_, failure = c.Do(context.Background(), u.request("2"))
+	require.Nil(t, failure)
+	require.EqualValues(t, 2, u.connections.Load())
+}
+
+// An upstream may close an idle connection, or send what belongs to no request: such a connection
+// must not carry another request.
+func TestIdleConnectionIsChecked(t *testing.T) {
+	for _, late := range []string{"", whole} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = l.Close() }()
+		go func() {
+			for n := 0; ; n++ {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, _ = conn.Write([]byte(whole))
+				if n == 0 && late == "" {
+					_ = conn.Close()
+				}
+				if n == 0 && late != "" {
+					time.Sleep(20 * time.Millisecond)
+					_, _ = conn.Write([]byte(late))
+				}
+			}
+		}()
+		c := newClient()
+		u := &upstream{address: l.Addr().String()}
+		r := u.request("ID")
+		_, failure := c.Do(context.Background(), r)
+		require.Nil(t, failure)
+		time.Sleep(60 * time.Millisecond)
+		resp, failure := c.Do(context.Background(), r)
+		require.Nil(t, failure)
+		require.True(t, resp.Opened)
+	}
+}
+
+// An upstream may answer before it has read a long body. The rest of the body must not be followed
+// by another request on the connection.
+func TestEarlyAnswerToLongBody(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 100))
+		_, _ = conn.Write([]byte(whole))
+		select {}
+	}()
+	c := newClient()
+	u := &upstream{address: l.Addr().String()}
+	r := u.request("ID")
+	r.Method, r.Body = "POST", make([]byte, 32<<20)
+	resp, failure := c.Do(context.Background(), r)
+	require.Nil(t, failure)
+	require.Equal(t, 200, resp.Status)
+}
