--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -199,3 +199,21 @@
 	require.Nil(t, failure)
 	require.Equal(t, 200, resp.Status)
 }
+
+// A check of a connection must not wait for a reader of it: a server reads ahead while it serves.
+func TestIsQuietDoesNotWaitForReaders(t *testing.T) {
+	u := newUpstream(t, "hang")
+	conn, err := net.Dial("tcp", u.address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	go func() { _, _ = conn.Read(make([]byte, 1)) }()
+	time.Sleep(20 * time.Millisecond)
+	checked := make(chan bool)
+	go func() { checked <- forwarder.IsQuiet(conn) }()
+	select {
+	case quiet := <-checked:
+		require.True(t, quiet)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the check waits for the reader")
+	}
+}
--- a/forwarder/quiet.go
+++ b/forwarder/quiet.go
@@ -5,8 +5,9 @@
 	"syscall"
 )
 
-// IsQuiet says whether an idle connection is open and nothing was received on it.
-// Bytes that arrive while no request is outstanding belong to no request.
+// IsQuiet says whether a connection is open and nothing was received on it that is not read yet.
+// It does not wait for a reader of the connection. Bytes that arrive while no request is
+// outstanding belong to no request.
 func IsQuiet(conn net.Conn) bool {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
@@ -18,10 +19,10 @@
 	}
 	quiet := false
 	var b [1]byte
-	err = control.Read(func(fd uintptr) bool {
+	// Control, unlike Read, takes no lock that a waiting reader holds.
+	err = control.Control(func(fd uintptr) {
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = err == syscall.EAGAIN
-		return true
 	})
 	return err == nil && quiet
 }
--- /dev/null
+++ b/gatekeeper/gatekeeper_test.go
@@ -0,0 +1,202 @@
+package gatekeeper_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaytiller/carawaytiller/merger"
+	"github.com/carawaytiller/carawaytiller/platform/faker"
+)
+
+// within is longer than any change takes to come into force on loopback.
+const within = 5 * time.Second
+
+// requireGathered checks an answer of /all/ against a direct merge of the parts that it names.
+func requireGathered(t *testing.T, a answer, uri string) (parts int) {
+	require.NoError(t, a.failure)
+	require.Equal(t, http.StatusOK, a.status, a.body)
+	records := merger.NewRecords(7)
+	seen := make(map[string]bool)
+	stamps := strings.Split(a.header.Get("X-Carawaytiller-Part-Stamps"), ", ")
+	for _, stamp := range stamps {
+		fields := strings.Split(stamp, ".")
+		require.Len(t, fields, 3, stamp)
+		require.Equal(t, a.id, fields[2], "a part of another request")
+		require.False(t, seen[fields[0]], "two parts of one shard")
+		seen[fields[0]] = true
+		records.Add(faker.Part(fields[0], uri, 9))
+	}
+	missing, err := strconv.Atoi(a.header.Get("X-Carawaytiller-Missing-Parts"))
+	require.NoError(t, err)
+	require.Equal(t, shardCount, len(stamps)+missing)
+	require.Equal(t, string(records.Bytes()), a.body)
+	return len(stamps)
+}
+
+// Every daemon answers a query over all shards, near and far, with exactly the parts that it names.
+func TestGather(t *testing.T) {
+	f := newFleet(t)
+	for i := range 30 {
+		uri := fmt.Sprintf("/all/%d?q=%%2F", i)
+		parts := requireGathered(t, f.request(f.daemons[i%3], "GET", uri, nil), uri)
+		require.Equal(t, shardCount, parts)
+	}
+}
+
+// A shard that is slow everywhere is left out at the target latency, and said to be missing.
+func TestSlowShardIsLeftOut(t *testing.T) {
+	f := newFleet(t)
+	f.upstreams["i-2-0"].SetDelay(3 * time.Second)
+	f.upstreams["i-2-1"].SetDelay(3 * time.Second)
+	for _, d := range f.daemons {
+		started := time.Now()
+		require.Equal(t, shardCount-1, requireGathered(t, f.request(d, "GET", "/all/x", nil), "/all/x"))
+		require.Less(t, time.Since(started), 900*time.Millisecond)
+	}
+}
+
+// A request that must not run twice is passed on unchanged, sent again after a rejection only, and
+// refused as not run only when it has not run.
+func TestNonRepeatable(t *testing.T) {
+	f := newFleet(t)
+	single := f.upstreams["i-single"]
+	a := f.request(f.daemons[1], "POST", "/one/a%2Fb?c=d", strings.NewReader("body"))
+	require.Equal(t, http.StatusOK, a.status)
+	require.Equal(t, string(faker.Part("single", "/one/a%2Fb?c=d", 9)), a.body)
+	require.Equal(t, 1, single.Ran(a.id))
+
+	single.SetShed(true)
+	a = f.request(f.daemons[0], "POST", "/one/1", strings.NewReader("body"))
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	require.Zero(t, single.Ran(a.id))
+
+	single.SetShed(false)
+	single.SetDelay(3 * time.Second)
+	a = f.request(f.daemons[0], "POST", "/one/1", strings.NewReader("body"))
+	require.Equal(t, http.StatusGatewayTimeout, a.status)
+	require.Equal(t, 1, single.Ran(a.id))
+}
+
+// Limits and missing routes are told apart from failures.
+func TestRefusals(t *testing.T) {
+	f := newFleet(t)
+	d := f.daemons[0]
+	require.Equal(t, http.StatusNotFound, f.request(d, "GET", "/none/", nil).status)
+	require.Equal(t, http.StatusRequestEntityTooLarge, f.request(d, "POST", "/one/1", strings.NewReader(strings.Repeat("x", 1001))).status)
+	require.Equal(t, http.StatusBadRequest, f.send(d, "GET", "/all/1", "", nil).status)
+	f.store.Remove("servers/i-single")
+	require.Eventually(t, func() bool { return f.request(d, "GET", "/one/1", nil).status == http.StatusServiceUnavailable }, within, 20*time.Millisecond)
+	a := f.request(d, "GET", "/one/1", nil)
+	require.Equal(t, "NoUpstream", a.reason(t))
+	require.Equal(t, "0.25", a.header.Get("Retry-After"))
+}
+
+// A configuration comes into force everywhere, also through an outage and after the history of the
+// store is gone, and never goes back.
+func TestConfiguration(t *testing.T) {
+	f := newFleet(t)
+	inForce := func(prefix string) func() bool {
+		return func() bool {
+			for _, d := range f.daemons {
+				if f.request(d, "GET", prefix+"1", nil).status != http.StatusOK {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	f.configure(3, "/new/")
+	require.Eventually(t, inForce("/new/"), within, 10*time.Millisecond)
+	f.store.SetDown(true)
+	time.Sleep(100 * time.Millisecond)
+	require.True(t, inForce("/new/")(), "the known configuration stays in force while the store is away")
+	f.configure(5, "/newer/")
+	f.store.Compact()
+	f.store.SetDown(false)
+	require.Eventually(t, inForce("/newer/"), within, 10*time.Millisecond)
+	f.configure(4, "/old/")
+	time.Sleep(400 * time.Millisecond)
+	require.True(t, inForce("/newer/")())
+}
+
+// A draining upstream gets no more requests; an entry that cannot be read names no upstream.
+func TestDrainingUpstream(t *testing.T) {
+	f := newFleet(t)
+	f.addUpstream("i-other", "single", "north-a")
+	f.store.Put("servers/i-single", `{"Service":"single","Address":7}`)
+	require.Eventually(t, func() bool {
+		before := f.upstreams["i-single"].Total()
+		for _, d := range f.daemons {
+			if f.request(d, "GET", "/one/1", nil).status != http.StatusOK {
+				return false
+			}
+		}
+		return f.upstreams["i-single"].Total() == before
+	}, within, 20*time.Millisecond)
+}
+
+// A daemon whose entry was removed writes it again.
+func TestLostEntryIsWrittenAgain(t *testing.T) {
+	f := newFleet(t)
+	f.store.Remove("fleet/members/vm-east-a")
+	require.Eventually(t, func() bool { return len(f.store.Keys("fleet/members/")) == 3 }, within, 10*time.Millisecond)
+}
+
+// A planned stop answers every request that was read, also those that come until the platform sends
+// no more, and ends within the time given.
+func TestStopCutsNoRequest(t *testing.T) {
+	f := newFleet(t)
+	f.upstreams["i-single"].SetDelay(300 * time.Millisecond)
+	d := f.daemons[0]
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	failures := 0
+	started := time.Now()
+	for i := range 40 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			time.Sleep(time.Duration(i) * 40 * time.Millisecond)
+			a := f.send(d, "POST", "/one/1", fmt.Sprintf("stop-%d", i), strings.NewReader("body"))
+			mu.Lock()
+			defer mu.Unlock()
+			if a.failure != nil || a.status != http.StatusOK {
+				failures++
+			}
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	d.stop()
+	require.Eventually(t, func() bool { return f.ready(d) != http.StatusOK }, time.Second, 5*time.Millisecond)
+	wg.Wait()
+	require.Zero(t, failures)
+	require.NoError(t, <-d.ended)
+	require.Less(t, time.Since(started), 4100*time.Millisecond)
+	require.Len(t, f.store.Keys("fleet/members/"), 2)
+}
+
+// Calls of the store do not grow with idle daemons that follow another one.
+func TestFollowersDoNotWatchTheStore(t *testing.T) {
+	f := newFleet(t)
+	for i := range 4 {
+		f.daemons = append(f.daemons, f.start("east-a", fmt.Sprintf("vm-east-%d", i)))
+		f.waitReady(f.daemons[len(f.daemons)-1])
+	}
+	require.Eventually(t, func() bool { return len(f.store.Keys("fleet/members/")) == 7 }, within, 10*time.Millisecond)
+	time.Sleep(time.Second)
+	before := f.store.Calls("kv-watch")
+	time.Sleep(2 * time.Second)
+	// One daemon in each of three regions watches once a second.
+	require.LessOrEqual(t, f.store.Calls("kv-watch")-before, 3*3)
+	f.configure(9, "/late/")
+	for _, d := range f.daemons {
+		require.Eventually(t, func() bool { return f.request(d, "GET", "/late/1", nil).status == http.StatusOK }, within, 10*time.Millisecond)
+	}
+}
