--- a/executor/executor.go
+++ b/executor/executor.go
@@ -15,6 +15,7 @@
 
 // Request is what is sent on to upstreams.
 type Request struct {
+	_      struct{} `cbor:",toarray"`
 	ID     string
 	Method string
 	// URI is path and query as the client sent them.
--- a/executor/peer.go
+++ b/executor/peer.go
@@ -17,6 +17,7 @@
 
 // SubQuery is the message by which a daemon asks another to gather some shards. Times are in milliseconds.
 type SubQuery struct {
+	_        struct{} `cbor:",toarray"`
 	Request  Request
 	Route    string
 	Shards   []string
@@ -61,7 +62,7 @@
 	}
 	resp, failure := x.client.Do(ctx, forwarder.Request{
 		Address: address, Key: GatherPath, Method: http.MethodPost, URI: GatherPath, Host: address,
-		Header: http.Header{"Content-Type": {"application/cbor"}}, Body: body,
+		Header: http.Header{}, Body: body,
 		Accepted: accepted,
 	})
 	if failure != nil {
--- a/follower/announcer.go
+++ b/follower/announcer.go
@@ -18,6 +18,9 @@
 	leaseMillis = 20 * tiller.Second
 	// renewMillis is the time between renewals, so that two may fail.
 	renewMillis = 6 * tiller.Second
+	// announceRetryMillis is the longest pause after a failed call. Each call is priced, and the
+	// others reach a daemon whose entry is missing no worse than before for a while.
+	announceRetryMillis = 3 * tiller.Second
 )
 
 // ParseMember decodes the entry of a daemon.
@@ -37,8 +40,8 @@
 	store  *platform.Store
 	log    logr.Logger
 	member cataloger.Member
-	lost  chan struct{}
-	lease int64
+	lost   chan struct{}
+	lease  int64
 }
 
 // NewAnnouncer returns an announcer of member.
@@ -57,11 +60,16 @@
 
 // Run announces the daemon until ctx ends, and removes its entry then.
 func (a *Announcer) Run(ctx context.Context) {
+	pause := tiller.Millis(retryMillis)
 	for ctx.Err() == nil {
-		if err := a.hold(ctx); err != nil && ctx.Err() == nil {
-			a.log.Info("Daemon is not announced", "Cause", err.Error(), "Lease", a.lease)
-			sleep(ctx, retryMillis+tiller.Millis(rand.Int64N(maxRetryMillis)))
+		err := a.hold(ctx)
+		if err == nil || ctx.Err() != nil {
+			pause = retryMillis
+			continue
 		}
+		a.log.Info("Daemon is not announced", "Cause", err.Error(), "Lease", a.lease)
+		sleep(ctx, pause/2+tiller.Millis(rand.Int64N(int64(pause))))
+		pause = min(2*pause, announceRetryMillis)
 	}
 	if a.lease == 0 {
 		return
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -10,6 +10,7 @@
 	"context"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,8 @@
 	direct bool
 	// trustAt is the time from which a missing entry means that its upstream is gone.
 	trustAt atomic.Int64
+	mu      sync.Mutex
+	encoded encodedUpdate
 	// heard is the time at which the store was last heard of.
 	heard atomic.Int64
 }
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -1,7 +1,10 @@
 package follower
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -19,6 +22,14 @@
 // ChangesPath is the path at which a daemon hands changes of the store to daemons that follow it.
 const ChangesPath = "/v1/changes"
 
+// Headers of an update, which is encoded once for several daemons.
+const (
+	// ageHeader is the time in milliseconds since the store was last heard of.
+	ageHeader = "Tiller-Age"
+	// holdHeader is the time in milliseconds for which missing upstreams may still return.
+	holdHeader = "Tiller-Hold"
+)
+
 const (
 	// relayWaitMillis is the time that a daemon waits for changes at another one.
 	relayWaitMillis = 1000 * tiller.Millis(1)
@@ -51,18 +62,48 @@
 			return
 		}
 	}
-	update.Age = f.age()
-	update.Hold = max(tiller.Millis(f.trustAt.Load())-f.clock.Now(), 0)
-	body, err := cbor.Marshal(update)
+	body, err := f.encode(after, update)
 	if err != nil {
+		f.log.Error(err, "Update cannot be encoded", "After", after)
 		http.Error(w, "the update cannot be encoded", http.StatusInternalServerError)
 		return
 	}
+	hold := max(tiller.Millis(f.trustAt.Load())-f.clock.Now(), 0)
+	w.Header().Set(ageHeader, strconv.FormatInt(int64(f.age()), 10))
+	w.Header().Set(holdHeader, strconv.FormatInt(int64(hold), 10))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	// A follower that has gone asks another daemon.
 	_, _ = w.Write(body)
 }
 
+// encode returns an update compressed. Daemons that follow this one mostly ask for the same.
+func (f *Follower) encode(after int64, u Update) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.encoded.body != nil && f.encoded.after == after && f.encoded.revision == u.Revision {
+		return f.encoded.body, nil
+	}
+	var b bytes.Buffer
+	z, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	if err := cbor.NewEncoder(z).Encode(u); err != nil {
+		return nil, errors.Wrap(err, "encode")
+	}
+	if err := z.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	f.encoded = encodedUpdate{after: after, revision: u.Revision, body: b.Bytes()}
+	return f.encoded.body, nil
+}
+
+// encodedUpdate is the update from one revision to another as it is sent.
+type encodedUpdate struct {
+	after, revision int64
+	body            []byte
+}
+
 // age returns the time since the store was last heard of, here or by the daemon that is followed.
 func (f *Follower) age() tiller.Millis { return f.clock.Now() - tiller.Millis(f.heard.Load()) }
 
@@ -76,7 +117,14 @@
 			ranked = append(ranked, m)
 		}
 	}
-	sort.Slice(ranked, func(i, j int) bool { return relayRank(ranked[i]) > relayRank(ranked[j]) })
+	sort.Slice(ranked, func(i, j int) bool {
+		a, b := ranked[i], ranked[j]
+		if a.Power != b.Power {
+			// A weak VM has a slow link too, which the updates would fill.
+			return a.Power > b.Power
+		}
+		return relayRank(a) > relayRank(b)
+	})
 	for _, m := range ranked {
 		if m.VM == f.self.VM {
 			return m, false
@@ -122,9 +170,22 @@
 	if resp.Status != http.StatusOK {
 		return update, errors.Errorf("it answered %d", resp.Status)
 	}
-	if err := cbor.Unmarshal(resp.Body, &update); err != nil {
+	data, err := io.ReadAll(flate.NewReader(bytes.NewReader(resp.Body)))
+	if err != nil {
+		return update, errors.Wrap(err, "decompress its update")
+	}
+	if err := cbor.Unmarshal(data, &update); err != nil {
 		return update, errors.Wrap(err, "decode its update")
 	}
+	age, err := strconv.ParseInt(resp.Header.Get(ageHeader), 10, 64)
+	if err != nil {
+		return update, errors.Wrap(err, "read the age of its update")
+	}
+	hold, err := strconv.ParseInt(resp.Header.Get(holdHeader), 10, 64)
+	if err != nil {
+		return update, errors.Wrap(err, "read the hold of its update")
+	}
+	update.Age, update.Hold = tiller.Millis(age), tiller.Millis(hold)
 	return update, nil
 }
 
--- a/follower/table.go
+++ b/follower/table.go
@@ -18,10 +18,10 @@
 	Whole bool
 	// Revision is the state of the store that the update leads to.
 	Revision int64
-	// Age is the time since the store was last heard of.
-	Age tiller.Millis
+	// Age is the time since the store was last heard of. It is sent apart, as is Hold.
+	Age tiller.Millis `cbor:"-"`
 	// Hold is the time for which upstreams without an entry may still enter themselves again.
-	Hold tiller.Millis
+	Hold tiller.Millis `cbor:"-"`
 }
 
 // Table is a copy of the entries of the store with their latest changes. Its methods may be called
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -127,6 +127,7 @@
 
 // SubReply is the reply to a sub-query.
 type SubReply struct {
+	_       struct{} `cbor:",toarray"`
 	Parts   []Part
 	Records []byte
 	// Missing are the shards without a part.
@@ -140,10 +141,14 @@
 }
 
 // Part is the signature of a shard's answer whose records were merged.
-type Part struct{ Shard, Stamp string }
+type Part struct {
+	_            struct{} `cbor:",toarray"`
+	Shard, Stamp string
+}
 
 // MissingShard says why a shard has no part.
 type MissingShard struct {
+	_      struct{} `cbor:",toarray"`
 	Shard  string
 	Reason tiller.Reason
 	// Attempts is the number of upstreams that may have run the request.
--- a/gatherer/hedge.go
+++ b/gatherer/hedge.go
@@ -18,6 +18,8 @@
 	// multiple of the time on the way and a time for late timers and a busy processor.
 	acceptFactor = 1.5
 	acceptMillis = 60
+	// lateMillis is the delay of an own timer from which this daemon counts as the late one.
+	lateMillis = 8
 	// peerMarginMillis is kept for a reply that is late on its way.
 	peerMarginMillis = 6
 	// minPeerMillis is the least time that a daemon gets for a sub-query.
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -187,6 +187,7 @@
 		Within: q.within(now, p), Left: max(q.end-now-tiller.Millis(p.way/2), minPeerMillis),
 	}
 	accept := now + tiller.Millis(acceptFactor*p.way) + acceptMillis
+	a.acceptBy = accept
 	for _, sh := range shards {
 		sh.hedgeAt, sh.asked = accept, a
 		effect.Shards = append(effect.Shards, sh.service)
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -84,6 +84,8 @@
 	extra bool
 	// accepted says that the other daemon has begun the sub-query.
 	accepted bool
+	// acceptBy is the time by which it must be accepted.
+	acceptBy tiller.Millis
 	sent     tiller.Millis
 	expected tiller.Millis
 }
--- a/gatherer/subquery.go
+++ b/gatherer/subquery.go
@@ -61,12 +61,17 @@
 
 // checkAccepted replaces a sub-query that was not accepted in time. A daemon that stands still has
 // not sent any request, and finds its connection closed when it goes on. One that is only late has
-// sent at most one for each shard.
+// sent at most one for each shard. When this daemon was late itself, the other gets more time.
 func (s *State) checkAccepted(now tiller.Millis, a *attempt) {
+	late := now - a.acceptBy
+	a.acceptBy = now + acceptMillis
 	for _, sh := range a.shards {
 		sh.hedgeAt = 0
+		if !a.accepted && late > lateMillis {
+			sh.hedgeAt = a.acceptBy
+		}
 	}
-	if a.accepted {
+	if a.accepted || late > lateMillis {
 		return
 	}
 	s.emit(Cancel{Attempt: a.id})
--- a/receiver/peer.go
+++ b/receiver/peer.go
@@ -30,7 +30,8 @@
 	}
 	// The header tells the asking daemon that this one is at work. A daemon that stood still meanwhile
 	// finds that the other has gone, and must send nothing.
-	w.Header().Set("Content-Type", "application/cbor")
+	// Nil values leave out headers that daemons do not read.
+	w.Header()["Content-Type"], w.Header()["Date"] = nil, nil
 	if err := http.NewResponseController(w).Flush(); err != nil || hasLeft(r.Context()) {
 		return
 	}
