--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -141,6 +141,10 @@
 		return false
 	}
 	u := s.next(now, sh)
+	if u == nil && sh.outstanding == 0 && s.isCrowded(now, sh) {
+		sh.hedgeAt = now + crowdedPauseMillis
+		return true
+	}
 	if u == nil {
 		return false
 	}
--- a/gatherer/choose.go
+++ b/gatherer/choose.go
@@ -16,9 +16,6 @@
 	farPenaltyMillis = 15.0
 	// noisePart spreads requests over candidates whose costs are about equal.
 	noisePart = 0.15
-	// crowdedMillis is the cost of a request beyond this daemon's share of the connections of an
-	// upstream, which may reset a further one.
-	crowdedMillis = 60.0
 	// minConnections is the number of requests that a daemon may have outstanding at an upstream
 	// even when the fleet is large.
 	minConnections = 2
@@ -57,19 +54,26 @@
 	if u.Region != s.settings.Region {
 		cost += farPenaltyMillis
 	}
-	if !s.mayCarry(u) {
-		cost += crowdedMillis
-	}
 	return cost
 }
 
-// mayCarry says whether this daemon's share of the connections of an upstream has room.
+// mayCarry says whether this daemon's share of the connections of an upstream has room. An upstream
+// resets connections beyond its limit, and a request on one of those is lost.
 func (s *State) mayCarry(u *upstream) bool {
 	limit := s.configuration.Service(u.Service).MaxConnections
-	if limit <= 0 {
-		return true
+	return limit <= 0 || u.stat.Inflight() < max(int(safePart*float64(limit))/s.callers(u), minConnections)
+}
+
+// callers returns the number of daemons that divide the connections of an upstream like this one.
+// The upstreams of shards are mostly asked by few daemons near them; one share is left to the others.
+func (s *State) callers(u *upstream) int {
+	switch {
+	case s.configuration.ShardsWith(u.Service) == 0 || u.Region != s.settings.Region:
+		return max(s.fleet.size, 1)
+	case s.isGrouped(u.Service):
+		return gatherersPerGroup + 1
 	}
-	return u.stat.Inflight() < max(int(s.fleet.share(float64(limit))), minConnections)
+	return len(s.byRegion[u.Region]) + 2
 }
 
 // candidate is an upstream with its cost.
@@ -83,7 +87,7 @@
 func (s *State) best(now tiller.Millis, sh *shard, again bool) (near, far candidate) {
 	near.cost, far.cost = math.Inf(1), math.Inf(1)
 	for _, u := range s.services[sh.service] {
-		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || u.isDown(now) || !s.admitsCold(now, u) {
+		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || u.isDown(now) || !s.mayCarry(u) || !s.admitsCold(now, u) {
 			continue
 		}
 		c := candidate{upstream: u, cost: s.cost(now, u, sh.query)}
@@ -114,3 +118,14 @@
 	}
 	return c.upstream
 }
+
+// isCrowded says whether a shard has an upstream that could be asked if this daemon had fewer
+// requests outstanding there.
+func (s *State) isCrowded(now tiller.Millis, sh *shard) bool {
+	for _, u := range s.services[sh.service] {
+		if s.isUsable(u, sh.query.route) && !u.isDown(now) && !s.mayCarry(u) {
+			return true
+		}
+	}
+	return false
+}
--- a/gatherer/down.go
+++ b/gatherer/down.go
@@ -6,6 +6,11 @@
 	// downMillis is the time for which an upstream that cannot be reached gets no requests. The first
 	// request after it finds out whether the upstream is back.
 	downMillis = 300
+	// refusedLimit is the number of connections in a row that fail after which an upstream counts as
+	// one that cannot be reached. A single one may be beyond the limit of a busy upstream.
+	refusedLimit = 2
+	// answeredMillis is the time for which an answer shows that an upstream can be reached.
+	answeredMillis = 200
 	// silentLimit is the number of requests in a row without an answer after which an upstream counts
 	// as one that cannot be reached.
 	silentLimit = 3
@@ -13,8 +18,10 @@
 
 // down notes that an upstream cannot be reached.
 type down struct {
-	until  tiller.Millis
-	silent int
+	until    tiller.Millis
+	answered tiller.Millis
+	refused  int
+	silent   int
 }
 
 // isDown says whether requests to an upstream are known to be in vain.
@@ -25,9 +32,11 @@
 	d := &a.upstream.down
 	switch {
 	case e.Failure == nil:
-		*d = down{}
+		*d = down{answered: now}
 	case e.Failure.Reason == tiller.ReasonConnectFailed:
-		d.until = now + downMillis
+		if d.refused++; d.refused >= refusedLimit && now-d.answered > answeredMillis {
+			d.until = now + downMillis
+		}
 	case now-a.sent >= lingerMillis:
 		if d.silent++; d.silent >= silentLimit {
 			d.until = now + downMillis
@@ -38,7 +47,7 @@
 // learnDown takes over what another daemon knows of upstreams near it.
 func (s *State) learnDown(now tiller.Millis, ids []string) {
 	for _, id := range ids {
-		if u, ok := s.upstreams[id]; ok {
+		if u, ok := s.upstreams[id]; ok && now-u.down.answered > answeredMillis {
 			u.down.until = max(u.down.until, now+downMillis)
 		}
 	}
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -114,11 +114,14 @@
 // sendFirst sends the first request of a shard.
 func (s *State) sendFirst(now tiller.Millis, sh *shard) {
 	u := s.next(now, sh)
-	if u == nil {
+	switch {
+	case u != nil:
+		s.send(now, sh, u, s.pay(sh))
+	case s.isCrowded(now, sh):
+		sh.hedgeAt = now + crowdedPauseMillis
+	default:
 		sh.lose(tiller.ReasonNoUpstream)
-		return
 	}
-	s.send(now, sh, u, s.pay(sh))
 }
 
 // pay takes a request of a shard from the budget of further requests, or adds to that budget when
