--- a/gatherer/down.go
+++ b/gatherer/down.go
@@ -11,9 +11,6 @@
 	refusedLimit = 2
 	// answeredMillis is the time for which an answer shows that an upstream can be reached.
 	answeredMillis = 200
-	// silentLimit is the number of requests in a row without an answer after which an upstream counts
-	// as one that cannot be reached.
-	silentLimit = 3
 )
 
 // down notes that an upstream cannot be reached.
@@ -21,7 +18,6 @@
 	until    tiller.Millis
 	answered tiller.Millis
 	refused  int
-	silent   int
 }
 
 // isDown says whether requests to an upstream are known to be in vain.
@@ -37,10 +33,6 @@
 		if d.refused++; d.refused >= refusedLimit && now-d.answered > answeredMillis {
 			d.until = now + downMillis
 		}
-	case now-a.sent >= lingerMillis:
-		if d.silent++; d.silent >= silentLimit {
-			d.until = now + downMillis
-		}
 	}
 }
 
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -164,6 +164,7 @@
 		sh.tried = append(sh.tried, u)
 	}
 	sh.outstanding++
+	sh.tries++
 	sh.arrivals++
 	q.sent++
 	u.stat.Sent(now, a.id)
@@ -198,6 +199,7 @@
 			effect.Avoid = append(effect.Avoid, u.ID)
 		}
 		sh.outstanding += limit
+		sh.tries++
 		sh.arrivals++
 	}
 	q.sent++
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -46,6 +46,8 @@
 	// ran is the number of upstreams on which the request has ended and may have run.
 	ran         int
 	outstanding int
+	// tries is the number of requests and sub-queries sent for the shard.
+	tries int
 	// hedgeAt is the time at which a further request is due.
 	hedgeAt tiller.Millis
 	// asked is the sub-query that the shard is part of; nil when there is none.
@@ -135,13 +137,18 @@
 	return false
 }
 
+// triesPerAttempt bounds the requests for a shard that do not run, such as rejected ones, so that
+// daemons do not pass a shard to and fro.
+const triesPerAttempt = 3
+
 // mayAsk says whether the request may be sent to one more upstream. A request that must not run
 // twice is sent again only after it is certain that it has not run.
 func (sh *shard) mayAsk() bool {
 	if !sh.query.route.Repeatable && sh.ran+sh.outstanding > 0 {
 		return false
 	}
-	return sh.ran+sh.outstanding < sh.query.route.Attempts
+	limit := sh.query.route.Attempts
+	return sh.ran+sh.outstanding < limit && sh.tries < triesPerAttempt*limit
 }
 
 func (q *query) decision(now tiller.Millis) Decision {
