--- a/executor/executor.go
+++ b/executor/executor.go
@@ -151,6 +151,8 @@
 		x.ask(e)
 	case gatherer.Warm:
 		go x.client.Warm(e.Upstream.Address, e.Upstream.ID, e.Connections)
+	case gatherer.Probe:
+		time.AfterFunc(e.After.Duration(), func() { x.probe(e.Member) })
 	case gatherer.Cancel:
 		x.cancel(e)
 	case gatherer.Pass:
--- a/executor/peer.go
+++ b/executor/peer.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/cataloger"
 	"github.com/carawaytiller/carawaytiller/forwarder"
 	"github.com/carawaytiller/carawaytiller/gatherer"
 )
@@ -77,3 +78,19 @@
 	}
 	return reply, nil
 }
+
+// ProbePath is the path at which daemons see whether they reach each other.
+const ProbePath = "/v1/probe"
+
+// probeTimeout bounds a probe: a way of 20 ms twice for a new connection, and a busy processor.
+const probeTimeout = 300 * tiller.Millis(1)
+
+// probe feeds whether another daemon can be reached over a new connection.
+func (x *Executor) probe(m cataloger.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
+	defer cancel()
+	_, failure := x.client.Do(ctx, forwarder.Request{
+		Address: m.Address, Key: ProbePath, Method: http.MethodGet, URI: ProbePath, Host: m.Address, Header: http.Header{},
+	})
+	x.Step(gatherer.PeerProbed{Member: m, Reached: failure == nil})
+}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -181,6 +181,7 @@
 func (g *Gatekeeper) peers() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+executor.GatherPath, g.receiver.ServeSubQuery)
+	mux.HandleFunc("GET "+executor.ProbePath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	mux.HandleFunc("GET "+follower.ChangesPath, g.follower.ServeChanges)
 	mux.HandleFunc("GET /v1/status", g.status)
 	mux.Handle("GET /metrics", g.observer)
--- a/gatherer/route_test.go
+++ b/gatherer/route_test.go
@@ -162,3 +162,35 @@
 		require.Equal(t, tt.resent, resent, tt.verdict)
 	}
 }
+
+// A daemon that cannot be reached must cost few queries their time, and is used again once it can.
+func TestUnreachableDaemonIsProbed(t *testing.T) {
+	w := newWorld(t, 8)
+	asker := w.daemons[0]
+	for _, d := range w.daemons {
+		d.dead = d.region == "north"
+	}
+	w.load(9000, 90, "/q/1")
+	w.run(9000)
+	late := 0
+	for _, o := range w.outcomes {
+		if o.took > 0 && !inTime(o) && o.started > 2000 {
+			late++
+		}
+	}
+	require.LessOrEqual(t, float64(late), 0.02*float64(len(w.outcomes)))
+	for _, d := range w.daemons {
+		d.dead = false
+	}
+	w.run(12000)
+	w.query(asker, "/q/1")
+	served := false
+	for range 40 {
+		w.query(asker, "/q/1")
+		w.run(w.now + 100)
+	}
+	for _, d := range w.daemons {
+		served = served || d.region == "north" && len(d.subs) > 0
+	}
+	require.True(t, served)
+}
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -97,6 +97,9 @@
 	stat *balancer.Stat
 	// way is the moving average of the time that a sub-query and its reply are on their way.
 	way float64
+	// unreachable says that the daemon gets no sub-queries until a probe reaches it.
+	unreachable bool
+	probeAfter  tiller.Millis
 }
 
 // New returns a State that knows no configuration, no upstreams and no daemons.
@@ -136,6 +139,8 @@
 		s.endSubQuery(now, e)
 	case SubQueryAccepted:
 		s.acceptSub(e)
+	case PeerProbed:
+		s.endProbe(e)
 	case FleetSettled:
 		s.settle()
 	case ConfigurationChanged:
--- a/gatherer/subquery.go
+++ b/gatherer/subquery.go
@@ -49,6 +49,7 @@
 		stat.Abandoned(now, a.id)
 	default:
 		stat.Failed(now, a.id)
+		s.watchPeer(a.peer, e.Failure.Reason)
 	}
 }
 
--- a/gatherer/world_test.go
+++ b/gatherer/world_test.go
@@ -225,6 +225,14 @@
 		if s := d.sent[e.Attempt]; s != nil {
 			w.after(e.After, s.abandon)
 		}
+	case gatherer.Probe:
+		w.after(e.After+regionWay, func() {
+			reached := false
+			for _, other := range w.daemons {
+				reached = reached || other.vm == e.Member.VM && !other.dead
+			}
+			w.step(d, gatherer.PeerProbed{Member: e.Member, Reached: reached})
+		})
 	case gatherer.ReplyGathered:
 		w.finish(e.ID, func(o *outcome) { o.parts, o.missing = len(e.Stamps), e.Missing })
 	case gatherer.Pass:
