--- a/follower/follower.go
+++ b/follower/follower.go
@@ -61,6 +61,8 @@
 	// penalty holds daemons that failed as a source, with the time until which they are left out.
 	penalty map[string]tiller.Millis
 	failing bool
+	// tryStoreAt is the time at which a store that failed is asked again.
+	tryStoreAt tiller.Millis
 	// direct says that the store was the last source.
 	direct bool
 	// trustAt is the time from which a missing entry means that its upstream is gone.
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -38,6 +38,8 @@
 	// relayAgeMillis is the age of another daemon's knowledge from which the store is asked directly.
 	// Together with the waits it stays below the time in which a configuration must be in force.
 	relayAgeMillis = 2000
+	// tryStoreMillis is the time between two calls of a store that turns this daemon away.
+	tryStoreMillis = 1000
 	// relayPenaltyMillis is the time for which a daemon that failed is not followed.
 	relayPenaltyMillis = 5 * tiller.Second
 )
@@ -108,32 +110,46 @@
 func (f *Follower) age() tiller.Millis { return f.clock.Now() - tiller.Millis(f.heard.Load()) }
 
 // relay returns the daemon to follow; false when this daemon is to ask the store itself. In each
-// region the daemon that ranks first asks the store.
+// region the daemon that ranks first asks the store. A daemon that the store turns away follows any
+// other that can be reached, and tries the store now and then.
 func (f *Follower) relay() (cataloger.Member, bool) {
 	now := f.clock.Now()
+	if f.failing && now >= f.tryStoreAt {
+		f.tryStoreAt = now + tryStoreMillis
+		return cataloger.Member{}, false
+	}
+	for _, m := range f.ranked() {
+		switch {
+		case m.VM == f.self.VM && !f.failing:
+			return m, false
+		case m.VM == f.self.VM || m.Region != f.self.Region && !f.failing:
+		case now >= f.penalty[m.VM]:
+			return m, true
+		}
+	}
+	return cataloger.Member{}, false
+}
+
+// ranked returns the daemons of the fleet in the order in which they are followed: those of the own
+// region first, the strong ones before the weak ones, whose links the updates would fill.
+func (f *Follower) ranked() []cataloger.Member {
 	ranked := make([]cataloger.Member, 0, len(f.members))
 	for _, m := range f.members {
-		if m.Region == f.self.Region && !m.Leaving {
+		if !m.Leaving {
 			ranked = append(ranked, m)
 		}
 	}
 	sort.Slice(ranked, func(i, j int) bool {
 		a, b := ranked[i], ranked[j]
+		if near := a.Region == f.self.Region; near != (b.Region == f.self.Region) {
+			return near
+		}
 		if a.Power != b.Power {
-			// A weak VM has a slow link too, which the updates would fill.
 			return a.Power > b.Power
 		}
 		return relayRank(a) > relayRank(b)
 	})
-	for _, m := range ranked {
-		if m.VM == f.self.VM {
-			return m, false
-		}
-		if now >= f.penalty[m.VM] {
-			return m, true
-		}
-	}
-	return cataloger.Member{}, false
+	return ranked
 }
 
 func relayRank(m cataloger.Member) uint64 { return xxhash.Sum64String("relay\x00" + m.VM) }
--- a/gatherer/arrive.go
+++ b/gatherer/arrive.go
@@ -51,6 +51,10 @@
 // arriveSub admits the sub-query of another daemon. It names the shards itself, so that both
 // daemons gather the shards of one configuration whatever each has in force.
 func (s *State) arriveSub(now tiller.Millis, e SubQueryArrived) {
+	if !s.knows(e.Shards) {
+		s.emit(ReplySub{Query: e.Query, Reply: SubReply{NoCapacity: true}, Decision: Decision{ID: e.ID, Route: e.Route, Configuration: s.Version()}})
+		return
+	}
 	q := &query{
 		id: e.Query, clientID: e.ID, version: s.Version(), sub: true, extra: e.Extra, arrived: now,
 		answerBy: now + max(e.Within, 1), end: now + max(e.Within, e.Left, 1),
@@ -73,6 +77,17 @@
 	s.start(now, q)
 }
 
+// knows says whether every shard has an upstream here. A daemon that the store turns away does not
+// know the shards of a newer configuration, and leaves them to others.
+func (s *State) knows(shards []string) bool {
+	for _, service := range shards {
+		if len(s.services[service]) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // start refuses a query that cannot reach its coverage, and sends the first requests of the others.
 func (s *State) start(now tiller.Millis, q *query) {
 	servable := 0
--- a/gatherer/gatherers.go
+++ b/gatherer/gatherers.go
@@ -119,7 +119,7 @@
 
 // mayAskPeer says whether sub-queries of a query may go to another daemon.
 func (s *State) mayAskPeer(now tiller.Millis, p *peer, q *query) bool {
-	if p.Leaving || p.unreachable || !q.route.Allows(p.Region) {
+	if p.Leaving || p.unreachable || now < p.staleUntil || !q.route.Allows(p.Region) {
 		return false
 	}
 	return !p.stat.Stalled(now, s.peerPrior(p))
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -100,6 +100,8 @@
 	// unreachable says that the daemon gets no sub-queries until a probe reaches it.
 	unreachable bool
 	probeAfter  tiller.Millis
+	// staleUntil is the time until which the daemon is taken to know too little.
+	staleUntil tiller.Millis
 }
 
 // New returns a State that knows no configuration, no upstreams and no daemons.
--- a/gatherer/subquery.go
+++ b/gatherer/subquery.go
@@ -5,6 +5,9 @@
 	"github.com/carawaytiller/carawaytiller/merger"
 )
 
+// staleMillis is the time for which a daemon that does not know a shard gets no sub-queries.
+const staleMillis = 1000
+
 // waySmoothing is the weight of a new sample in the average time on the way.
 const waySmoothing = 0.1
 
@@ -41,6 +44,7 @@
 	switch {
 	case e.Failure == nil && e.Reply.NoCapacity:
 		stat.Shed(now, a.id)
+		a.peer.staleUntil = now + staleMillis
 	case e.Failure == nil:
 		stat.Answered(now, a.id, 0)
 		way := float64(max(now-a.sent-e.Reply.Took, 0))
