--- a/gatekeeper/fleet_test.go
+++ b/gatekeeper/fleet_test.go
@@ -108,11 +108,14 @@
 	return l.Addr().String()
 }
 
-func (f *fleet) start(domain, vm string) *running {
+func (f *fleet) start(domain, vm string) *running { return f.startAt(f.address, domain, vm) }
+
+// startAt starts a daemon that reaches the store at an address.
+func (f *fleet) startAt(store, domain, vm string) *running {
 	s := platform.Settings{
 		VM: vm, Domain: domain, Region: domains[domain], Regions: domains,
 		FrontAddress: freeAddress(f.t), ReadyAddress: freeAddress(f.t), ControlAddress: freeAddress(f.t),
-		StoreAddress: f.address, Power: 400,
+		StoreAddress: store, Power: 400,
 		Bounds: platform.Bounds{StopWithin: 4000, RetryRatio: 0.2, RetrySlack: 56, ColdOverage: 1.5, ColdSlack: 5},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -200,3 +202,27 @@
 		require.Eventually(t, func() bool { return f.request(d, "GET", "/late/1", nil).status == http.StatusOK }, within, 10*time.Millisecond)
 	}
 }
+
+// The store may turn single daemons away while it serves the others: such a daemon learns from them,
+// and its queries reach the new shards.
+func TestDeniedDaemonLearnsFromOthers(t *testing.T) {
+	f := newFleet(t)
+	var denied atomic.Bool
+	gate := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if denied.Load() {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		f.store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(gate.Close)
+	d := f.startAt(gate.Listener.Addr().String(), "west-a", "vm-denied")
+	f.daemons = append(f.daemons, d)
+	f.waitReady(d)
+	require.Eventually(t, func() bool { return len(f.store.Keys("fleet/members/")) == 4 }, within, 10*time.Millisecond)
+	denied.Store(true)
+	f.configure(5, "/late/")
+	require.Eventually(t, func() bool { return f.request(d, "GET", "/late/1", nil).status == http.StatusOK }, within, 20*time.Millisecond)
+	f.configure(6, "/later/")
+	require.Eventually(t, func() bool { return f.request(d, "GET", "/later/1", nil).status == http.StatusOK }, within, 20*time.Millisecond)
+}
--- a/gatherer/route_test.go
+++ b/gatherer/route_test.go
@@ -194,3 +194,32 @@
 	}
 	require.True(t, served)
 }
+
+// A daemon that knows nothing of a shard hands the whole sub-query back, and gets no others for a
+// while: it may have missed a configuration.
+func TestUnknownShardsAreHandedBack(t *testing.T) {
+	w := newWorld(t, 9)
+	effects := w.daemons[0].state.Step(w.now, gatherer.SubQueryArrived{
+		Query: 900, ID: "a", Shards: []string{shardName(0), "new"}, TopK: 5, Attempts: 2, Within: 100, Left: 200,
+	})
+	require.Len(t, effects, 1)
+	require.True(t, effects[0].(gatherer.ReplySub).Reply.NoCapacity)
+
+	asker := w.daemons[1]
+	var ask gatherer.Ask
+	for _, e := range asker.state.Step(w.now, gatherer.QueryArrived{Query: 901, ID: "b", Host: "h", Path: "/q/1", Deadline: 1000}) {
+		if a, ok := e.(gatherer.Ask); ok {
+			ask = a
+		}
+	}
+	effects = asker.state.Step(w.now+40, gatherer.SubQueryEnded{Attempt: ask.Attempt, Reply: gatherer.SubReply{NoCapacity: true}})
+	effects = append(effects, asker.state.Step(w.now+50, gatherer.QueryArrived{Query: 902, ID: "c", Host: "h", Path: "/q/1", Deadline: 1000})...)
+	asked := 0
+	for _, e := range effects {
+		if a, ok := e.(gatherer.Ask); ok {
+			require.NotEqual(t, ask.Member.VM, a.Member.VM)
+			asked++
+		}
+	}
+	require.NotZero(t, asked)
+}
--- a/logger/async.go
+++ b/logger/async.go
@@ -10,20 +10,38 @@
 type Async struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	closing chan struct{}
 	done    chan struct{}
 }
 
 // NewAsync returns an Async that writes to w and holds at most size lines.
 func NewAsync(w io.Writer, size int) *Async {
-	a := &Async{lines: make(chan []byte, size), done: make(chan struct{})}
-	go func() {
-		defer close(a.done)
-		for line := range a.lines {
+	a := &Async{lines: make(chan []byte, size), closing: make(chan struct{}), done: make(chan struct{})}
+	go a.run(w)
+	return a
+}
+
+// run writes lines until Close, and then those that still wait.
+func (a *Async) run(w io.Writer) {
+	defer close(a.done)
+	for {
+		select {
+		case line := <-a.lines:
 			// There is nowhere to report that the log itself cannot be written.
 			_, _ = w.Write(line)
+			continue
+		case <-a.closing:
 		}
-	}()
-	return a
+		break
+	}
+	for {
+		select {
+		case line := <-a.lines:
+			_, _ = w.Write(line)
+		default:
+			return
+		}
+	}
 }
 
 // Write queues a copy of line. It never fails.
@@ -39,8 +57,8 @@
 // Dropped returns the number of lines dropped so far.
 func (a *Async) Dropped() int64 { return a.dropped.Load() }
 
-// Close writes the lines that wait and ends the goroutine. Write must not be called any more.
+// Close writes the lines that wait and ends the goroutine. Lines that come later are dropped.
 func (a *Async) Close() {
-	close(a.lines)
+	close(a.closing)
 	<-a.done
 }
--- /dev/null
+++ b/logger/async_test.go
@@ -0,0 +1,50 @@
+package logger_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaytiller/carawaytiller/logger"
+)
+
+// blocked is a writer that waits until it is released.
+type blocked struct {
+	release chan struct{}
+	mu      sync.Mutex
+	b       bytes.Buffer
+}
+
+func (w *blocked) Write(line []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.b.Write(line)
+}
+
+// Logging must not hold up requests when nobody reads the log.
+func TestAsyncNeverBlocks(t *testing.T) {
+	w := &blocked{release: make(chan struct{})}
+	a := logger.NewAsync(w, 2)
+	for range 10 {
+		_, err := a.Write([]byte("line\n"))
+		require.NoError(t, err)
+	}
+	require.GreaterOrEqual(t, a.Dropped(), int64(7))
+	close(w.release)
+	a.Close()
+	require.GreaterOrEqual(t, strings.Count(w.b.String(), "line"), 2)
+}
+
+// A goroutine that still logs while the process ends must not crash it.
+func TestAsyncWriteAfterClose(t *testing.T) {
+	a := logger.NewAsync(&bytes.Buffer{}, 2)
+	a.Close()
+	for range 5 {
+		_, err := a.Write([]byte("late\n"))
+		require.NoError(t, err)
+	}
+}
