--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -16,8 +16,6 @@
 	ID   string
 	Host string
 	Path string
-	// Digest identifies equal requests: method, host, path and body.
-	Digest uint64
 	// Deadline is the time that the client waits; 0 when it names none.
 	Deadline tiller.Millis
 	// NewConnection says that the request is the first on its connection.
@@ -29,7 +27,6 @@
 	Query  uint64
 	ID     string
 	Route  string
-	Digest uint64
 	Shards []string
 	TopK   int
 	// Groups is the number of groups that the query's shards are divided into.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"hash/maphash"
 	"io"
 	"net/http"
 	"strconv"
@@ -40,12 +39,11 @@
 	limits  func() cataloger.Limits
 	refused func(tiller.Reason)
 	closing atomic.Bool
-	seed    maphash.Seed
 }
 
 // New returns a Receiver. refused is told of requests that are refused before they are submitted.
 func New(x *executor.Executor, codec Codec, limits func() cataloger.Limits, refused func(tiller.Reason)) *Receiver {
-	return &Receiver{executor: x, codec: codec, limits: limits, refused: refused, seed: maphash.MakeSeed()}
+	return &Receiver{executor: x, codec: codec, limits: limits, refused: refused}
 }
 
 // CloseConnections makes each connection end with its next answer.
@@ -71,7 +69,6 @@
 		ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: endToEnd(r.Header), Body: body,
 	}, gatherer.QueryArrived{
 		Host: r.Host, Path: path, Deadline: deadline, NewConnection: isFirst(r.Context()),
-		Digest: h.digest(r, body),
 	})
 	select {
 	case o := <-t.Done:
@@ -81,15 +78,6 @@
 	}
 }
 
-func (h *Receiver) digest(r *http.Request, body []byte) uint64 {
-	var m maphash.Hash
-	m.SetSeed(h.seed)
-	// A maphash.Hash does not fail.
-	_, _ = m.WriteString(r.Method + "\x00" + r.Host + "\x00" + r.RequestURI + "\x00")
-	_, _ = m.Write(body)
-	return m.Sum64()
-}
-
 // readBody reads the whole body, so that nothing runs for a client that breaks off.
 func (h *Receiver) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	limit := h.limits().BodyBytes
