--- a/cmd/tillergate/main.go
+++ b/cmd/tillergate/main.go
@@ -80,7 +80,7 @@
 		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
-	// The settings do not change while the process runs; what operators change is in the store.
+	// A client that closes its connection must not end the process.
 	signal.Ignore(syscall.SIGPIPE)
 	go logReloads(ctx, log)
 	if err := gatekeeper.New(settings, tiller.SystemClock(), log).Run(ctx); err != nil {
@@ -90,7 +90,8 @@
 	return exitDone
 }
 
-// logReloads notes each SIGHUP.
+// logReloads notes each SIGHUP. Addresses and failure domain of a VM do not change while the process
+// runs, and what operators change is in the store.
 func logReloads(ctx context.Context, log logr.Logger) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
