--- a/gatherer/arrive.go
+++ b/gatherer/arrive.go
@@ -134,7 +134,13 @@
 	q.ended = true
 	delete(s.queries, q.id)
 	for _, id := range q.attempts {
-		if _, ok := s.attempts[id]; ok {
+		a, ok := s.attempts[id]
+		switch {
+		case !ok:
+		case a.peer != nil && !a.accepted:
+			// The other daemon must not begin it any more.
+			s.emit(Cancel{Attempt: id})
+		default:
 			s.emit(Cancel{Attempt: id, After: linger})
 		}
 	}
--- a/gatherer/route_test.go
+++ b/gatherer/route_test.go
@@ -223,3 +223,43 @@
 	}
 	require.NotZero(t, asked)
 }
+
+// A daemon that has not begun a sub-query when its query is answered must find the connection closed:
+// one that was starting up ran it 280 ms later, on a third upstream of a shard.
+func TestSubQueryNotBegunIsCancelledWithTheAnswer(t *testing.T) {
+	w := newWorld(t, 10)
+	r := w.gatherRoute()
+	r.MinCoverage = 0.3
+	w.configure(2, r)
+	d := w.daemons[0]
+	asked := make(map[uint64]bool)
+	answered := false
+	handle := func(effects []gatherer.Effect) (sends []gatherer.Send) {
+		for _, e := range effects {
+			switch e := e.(type) {
+			case gatherer.Send:
+				sends = append(sends, e)
+			case gatherer.Ask:
+				asked[e.Attempt] = true
+			case gatherer.ReplyGathered:
+				answered = true
+			case gatherer.Cancel:
+				if asked[e.Attempt] {
+					require.Zero(t, e.After)
+					delete(asked, e.Attempt)
+				}
+			}
+		}
+		return sends
+	}
+	sends := handle(d.state.Step(w.now, gatherer.QueryArrived{Query: 1, ID: "a", Host: "h", Path: "/q/1", Deadline: 1000}))
+	for _, send := range sends {
+		answer := gatherer.Answer{Status: 200, Stamp: send.Upstream.ID, Body: make([]byte, 16)}
+		handle(d.state.Step(w.now+10, gatherer.AttemptEnded{Attempt: send.Attempt, Answer: answer}))
+	}
+	for now := w.now + 11; now < w.now+400 && !answered; now++ {
+		handle(d.state.Step(now, gatherer.TimerFired{}))
+	}
+	require.True(t, answered)
+	require.Empty(t, asked)
+}
