Apply changed settings while the daemon runs, and serve metrics as text

Cause: SIGHUP and a settings file that changes without a signal were logged and not applied, so a lowered retry budget or cold allowance held only from the next start. Metrics were served as JSON only, while the platform reads text, and the number of dropped log lines was counted and reported nowhere.

The bounds of the fleet and the time to stop come into force at once; addresses and the place of the VM are said to need a restart.

--- a/cmd/tillergate/main.go
+++ b/cmd/tillergate/main.go
@@ -17,6 +17,7 @@
 	"github.com/carawaytiller/carawaytiller/gatekeeper"
 	"github.com/carawaytiller/carawaytiller/logger"
 	"github.com/carawaytiller/carawaytiller/platform"
+	"github.com/carawaytiller/carawaytiller/reloader"
 )
 
 // Exit codes.
@@ -60,7 +61,7 @@
 		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
-	settings, err := platform.ReadSettings(settingsPath)
+	contents, settings, err := readSettings(settingsPath)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitUsage
@@ -69,39 +70,48 @@
 		fmt.Fprintf(stdout, "settings of %s in %s are valid\n", settings.VM, settings.Domain)
 		return exitDone
 	}
-	return run(ctx, settings, o.LogLevel, stdout, stderr)
-}
-
-func run(ctx context.Context, settings platform.Settings, level string, stdout, stderr io.Writer) int {
 	lines := logger.NewAsync(stdout, logLines)
 	defer lines.Close()
-	log, err := logger.New(lines, level)
+	log, err := logger.New(lines, o.LogLevel)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
 	// A client that closes its connection must not end the process.
 	signal.Ignore(syscall.SIGPIPE)
-	go logReloads(ctx, log)
-	if err := gatekeeper.New(settings, tiller.SystemClock(), log).Run(ctx); err != nil {
+	daemon := gatekeeper.New(settings, tiller.SystemClock(), log, lines.Dropped)
+	go reload(ctx, settingsPath, contents, log, daemon)
+	if err := daemon.Run(ctx); err != nil {
 		log.Error(err, "Daemon failed")
 		return exitFailed
 	}
 	return exitDone
 }
 
-// logReloads notes each SIGHUP. Addresses and failure domain of a VM do not change while the process
-// runs, and what operators change is in the store.
-func logReloads(ctx context.Context, log logr.Logger) {
+// readSettings returns the contents of the settings file and what they say.
+func readSettings(path string) ([]byte, platform.Settings, error) {
+	contents, err := os.ReadFile(path)
+	if err != nil {
+		return nil, platform.Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	settings, err := platform.ParseSettings(contents)
+	if err != nil {
+		err = fmt.Errorf("settings file %q: %w", path, err)
+	}
+	return contents, settings, err
+}
+
+// reload keeps the daemon's settings in step with their file.
+func reload(ctx context.Context, path string, contents []byte, log logr.Logger, daemon *gatekeeper.Gatekeeper) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-			log.Info("Settings are read at the next start only", "Signal", "SIGHUP")
+	reloader.New(path, contents, log, func(contents []byte) error {
+		settings, err := platform.ParseSettings(contents)
+		if err != nil {
+			return err
 		}
-	}
+		daemon.Reload(settings)
+		return nil
+	}).Run(ctx, reloader.PollMillis, hup)
 }
--- a/cmd/tillergate/main_test.go
+++ b/cmd/tillergate/main_test.go
@@ -3,9 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"os"
 	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -50,3 +55,45 @@
 	require.Equal(t, exitDone, execute(ctx, []string{"run"}, path, &stdout, &stderr), stderr.String())
 	require.Contains(t, stdout.String(), "Daemon stopped")
 }
+
+// Settings that change while the daemon runs must come into force with a signal, and settings that
+// are not valid must not.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(path, []byte(valid), 0o600))
+	ctx, cancel := context.WithCancel(context.Background())
+	stdout := &lockedBuffer{}
+	code := make(chan int)
+	go func() { code <- execute(ctx, []string{"run"}, path, stdout, io.Discard) }()
+	hup := func(settings, line string) {
+		require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
+		require.Eventually(t, func() bool {
+			require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+			return strings.Contains(stdout.String(), line)
+		}, 5*time.Second, 50*time.Millisecond, line)
+	}
+	require.Eventually(t, func() bool { return strings.Contains(stdout.String(), "Daemon started") }, 5*time.Second, 5*time.Millisecond)
+	hup("{", "the old ones stay in force")
+	hup(strings.Replace(valid, `"GraceS":4`, `"GraceS":3`, 1), `"StopWithin":3000,"RestartNeeded":false`)
+	hup(strings.Replace(valid, "vm-1", "vm-2", 1), `"RestartNeeded":true`)
+	cancel()
+	require.Equal(t, exitDone, <-code)
+}
+
+// lockedBuffer is a buffer that is written and read at the same time.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
--- a/gatekeeper/fleet_test.go
+++ b/gatekeeper/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/cataloger"
 	"github.com/carawaytiller/carawaytiller/gatekeeper"
 	"github.com/carawaytiller/carawaytiller/platform"
 	"github.com/carawaytiller/carawaytiller/platform/faker"
@@ -115,12 +116,12 @@
 	s := platform.Settings{
 		VM: vm, Domain: domain, Region: domains[domain], Regions: domains,
 		FrontAddress: freeAddress(f.t), ReadyAddress: freeAddress(f.t), ControlAddress: freeAddress(f.t),
-		StoreAddress: store, Power: 400,
-		Bounds: platform.Bounds{StopWithin: 4000, RetryRatio: 0.2, RetrySlack: 56, ColdOverage: 1.5, ColdSlack: 5},
+		StoreAddress: store, Power: 400, StopWithin: 4000,
+		Bounds: cataloger.Bounds{RetryRatio: 0.2, RetrySlack: 56, ColdOverage: 1.5, ColdSlack: 5},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &running{settings: s, stop: cancel, ended: make(chan error, 1)}
-	g := gatekeeper.New(s, tiller.SystemClock(), testLog)
+	g := gatekeeper.New(s, tiller.SystemClock(), testLog, func() int64 { return 0 })
 	go func() {
 		d.ended <- g.Run(ctx)
 		close(d.ended)
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -39,7 +39,9 @@
 
 // Gatekeeper is one daemon.
 type Gatekeeper struct {
+	// settings are those at the start; reloaded holds those in force.
 	settings    platform.Settings
+	reloaded    atomic.Pointer[platform.Settings]
 	log         logr.Logger
 	clock       tiller.Clock
 	executor    *executor.Executor
@@ -52,16 +54,17 @@
 	stopping    atomic.Bool
 }
 
-// New returns a daemon with the given settings.
-func New(s platform.Settings, clock tiller.Clock, log logr.Logger) *Gatekeeper {
+// New returns a daemon with the given settings. droppedLines returns the number of log lines that
+// were dropped so far.
+func New(s platform.Settings, clock tiller.Clock, log logr.Logger, droppedLines func() int64) *Gatekeeper {
 	g := &Gatekeeper{settings: s, log: log, clock: clock, connections: receiver.NewConnections(clock)}
-	g.observer = newObserver(log)
+	g.reloaded.Store(&s)
+	g.observer = newObserver(log, droppedLines)
 	g.client = forwarder.New(clock, platform.RequestID)
 	incarnation := time.Now().UnixNano()
 	state := gatherer.New(gatherer.Settings{
 		VM: s.VM, Domain: s.Domain, Region: s.Region, Power: s.Power, Seed: xxhash.Sum64String(s.VM) + uint64(incarnation),
-		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
-		ColdOverage: s.Bounds.ColdOverage, ColdSlack: s.Bounds.ColdSlack,
+		Bounds: s.Bounds,
 	})
 	codec := executor.Codec{Outgoing: platform.SetAttempt, Incoming: incoming}
 	seams := executor.Observer{Effect: g.observer.effect, Answer: g.observer.answer}
@@ -173,7 +176,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	mux.Handle("GET /metrics", g.observer)
+	g.observer.handle(mux)
 	return mux
 }
 
@@ -184,7 +187,7 @@
 	mux.HandleFunc("GET "+executor.ProbePath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	mux.HandleFunc("GET "+follower.ChangesPath, g.follower.ServeChanges)
 	mux.HandleFunc("GET /v1/status", g.status)
-	mux.Handle("GET /metrics", g.observer)
+	g.observer.handle(mux)
 	return mux
 }
 
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -226,3 +227,21 @@
 	f.configure(6, "/later/")
 	require.Eventually(t, func() bool { return f.request(d, "GET", "/later/1", nil).status == http.StatusOK }, within, 20*time.Millisecond)
 }
+
+// The platform reads the metrics as text, operators' tools as JSON.
+func TestMetrics(t *testing.T) {
+	f := newFleet(t)
+	requireGathered(t, f.request(f.daemons[0], "GET", "/all/1", nil), "/all/1")
+	for path, want := range map[string]string{
+		"/metrics":      "counter Answered.Gathered\n  count:               1\n",
+		"/metrics.json": `"Answered.Gathered":{"count":1}`,
+	} {
+		resp, err := http.Get("http://" + f.daemons[0].settings.ReadyAddress + path)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Contains(t, string(body), want)
+		require.Contains(t, string(body), "Log.Dropped")
+	}
+}
--- a/gatekeeper/observer.go
+++ b/gatekeeper/observer.go
@@ -18,11 +18,16 @@
 	upstream metrics.Histogram
 }
 
+// metricsPath is the path of the metrics as text. deploy/system.toml names it to the platform.
+const metricsPath = "/metrics"
+
 // reservoirSize is the number of samples of a latency histogram.
 const reservoirSize = 512
 
-func newObserver(log logr.Logger) *observer {
+// newObserver returns an observer. droppedLines returns the number of log lines dropped so far.
+func newObserver(log logr.Logger, droppedLines func() int64) *observer {
 	r := metrics.NewRegistry()
+	metrics.NewRegisteredFunctionalGauge("Log.Dropped", r, droppedLines)
 	return &observer{
 		log:      log,
 		registry: r,
@@ -82,8 +87,14 @@
 	o.log.Info(outcome, fields...)
 }
 
-// ServeHTTP writes the metrics as JSON.
-func (o *observer) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	metrics.WriteJSONOnce(o.registry, w)
+// handle serves the metrics as text and as JSON.
+func (o *observer) handle(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		metrics.WriteOnce(o.registry, w)
+	})
+	mux.HandleFunc("GET "+metricsPath+".json", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(o.registry, w)
+	})
 }
--- a/gatekeeper/stop.go
+++ b/gatekeeper/stop.go
@@ -26,12 +26,12 @@
 // serving, lets each connection end with its next answer, closes idle ones once no new connections
 // come, and waits for the requests being served.
 func (g *Gatekeeper) stop(front *http.Server) {
-	started := g.clock.Now()
+	started, within := g.clock.Now(), g.reloaded.Load().StopWithin
 	g.stopping.Store(true)
 	g.receiver.CloseConnections()
 	g.log.Info("Daemon stopping", "Connections", g.connections.Open())
-	end := started + max(g.settings.Bounds.StopWithin-exitMarginMillis, stopPollMillis)
-	accept := started + max(outOfRotationMillis, tiller.Millis(float64(g.settings.Bounds.StopWithin)*acceptPart))
+	end := started + max(within-exitMarginMillis, stopPollMillis)
+	accept := started + max(outOfRotationMillis, tiller.Millis(float64(within)*acceptPart))
 	for g.clock.Now() < min(accept, end) {
 		time.Sleep(stopPollMillis * time.Millisecond)
 		if g.clock.Now() >= started+outOfRotationMillis && g.connections.Open() == 0 && g.waiting() == 0 {
--- a/gatherer/cold.go
+++ b/gatherer/cold.go
@@ -43,9 +43,9 @@
 	if now >= u.cold.until {
 		return true
 	}
-	perSecond := coldSafePart * s.settings.ColdSlack
+	perSecond := coldSafePart * s.settings.Bounds.ColdSlack
 	if s.configuration != nil {
-		perSecond += coldSafePart * s.settings.ColdOverage * s.configuration.Service(u.Service).WarmupPerSecond
+		perSecond += coldSafePart * s.settings.Bounds.ColdOverage * s.configuration.Service(u.Service).WarmupPerSecond
 	}
 	senders := min(max(int(perSecond/2), 1), max(s.fleet.size, 1))
 	if s.rankFor(u.ID) >= senders {
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -83,6 +83,9 @@
 // MembersChanged lists the daemons of the fleet, this one included.
 type MembersChanged struct{ Members []cataloger.Member }
 
+// BoundsChanged brings other bounds of the fleet into force.
+type BoundsChanged struct{ Bounds cataloger.Bounds }
+
 // DomainEvacuated takes a failure domain out of service, or back into it.
 type DomainEvacuated struct {
 	Domain string
@@ -103,6 +106,7 @@
 func (UpstreamChanged) event()      {}
 func (UpstreamGone) event()         {}
 func (MembersChanged) event()       {}
+func (BoundsChanged) event()        {}
 func (DomainEvacuated) event()      {}
 func (TimerFired) event()           {}
 
--- a/gatherer/fleet.go
+++ b/gatherer/fleet.go
@@ -56,11 +56,26 @@
 	}
 	s.peers, s.byRegion = peers, byRegion
 	s.gathering = make(map[groupKey][]*peer)
+	s.shareBudgets()
+}
+
+// changeBounds brings other bounds of the fleet into force. Budgets keep what they have gained so
+// far, up to their new limits.
+func (s *State) changeBounds(b cataloger.Bounds) {
+	s.settings.Bounds = b
+	s.shareBudgets()
+}
+
+// shareBudgets sets the budgets of further requests to this daemon's part of the fleet's.
+func (s *State) shareBudgets() {
 	for service, b := range s.budgets {
-		s.budgets[service] = b.WithBurst(s.burst(service))
+		s.budgets[service] = b.WithPercent(s.retryPercent()).WithBurst(s.burst(service))
 	}
 }
 
+// retryPercent returns the number of extra requests per 100 first ones that this daemon may send.
+func (s *State) retryPercent() int { return int(s.settings.Bounds.RetryRatio * safePart * 100) }
+
 // gathererPart is the part of a large fleet's slack that the daemons share that gather a shard
 // near its upstreams; the others ask it themselves only when those fail.
 const gathererPart = 0.5
@@ -68,9 +83,9 @@
 // burst returns the number of extra requests that this daemon may send to a service at once.
 func (s *State) burst(service string) int {
 	if s.isGrouped(service) && s.isGatherer(service, s.groupsOf(service)) {
-		return max(int(s.settings.RetrySlack*gathererPart)/max(gatherersPerGroup*len(s.services[service]), 1), 1)
+		return max(int(s.settings.Bounds.RetrySlack*gathererPart)/max(gatherersPerGroup*len(s.services[service]), 1), 1)
 	}
-	return max(int(s.fleet.share(s.settings.RetrySlack)), 1)
+	return max(int(s.fleet.share(s.settings.Bounds.RetrySlack)), 1)
 }
 
 // budget returns the extra requests that this daemon may send to a service. A new budget starts
@@ -79,7 +94,7 @@
 	b, ok := s.budgets[service]
 	if !ok {
 		burst := s.burst(service)
-		b = hedger.NewBudget(int(s.settings.RetryRatio*safePart*100), burst).WithGain((burst + 1) / 2)
+		b = hedger.NewBudget(s.retryPercent(), burst).WithGain((burst + 1) / 2)
 	}
 	return b
 }
--- a/gatherer/load_test.go
+++ b/gatherer/load_test.go
@@ -222,3 +222,26 @@
 		}
 	}
 }
+
+// Operators that lower the budget while upstreams fail must see fewer extra requests at once, also
+// from daemons that have saved some up.
+func TestLoweredBudgetHoldsAtOnce(t *testing.T) {
+	w := newWorld(t, 9)
+	w.load(6000, 90, "/q/1")
+	w.run(6000)
+	w.arrivals = make(map[string][]arrival)
+	w.tell(gatherer.BoundsChanged{Bounds: cataloger.Bounds{RetryRatio: 0.02, RetrySlack: 9, ColdOverage: coldOverage, ColdSlack: coldSlack}})
+	for _, s := range w.servers {
+		s.shed = 0.6
+	}
+	w.load(12000, 90, "/q/1")
+	w.run(14000)
+	for service, arrivals := range w.arrivals {
+		first := make(map[string]bool)
+		for _, a := range arrivals {
+			first[a.id] = true
+		}
+		// Each of nine daemons may have saved up one request.
+		require.LessOrEqual(t, len(arrivals)-len(first), 9+int(0.02*float64(len(first)))+1, service)
+	}
+}
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -45,14 +45,8 @@
 	Power int
 	// Seed starts the random numbers that break ties.
 	Seed uint64
-	// RetryRatio and RetrySlack bound the extra requests of the whole fleet to one service:
-	// per request, and besides.
-	RetryRatio float64
-	RetrySlack float64
-	// ColdOverage and ColdSlack bound the requests per second of the whole fleet to a cold upstream:
-	// per request that it bears, and besides.
-	ColdOverage float64
-	ColdSlack   float64
+	// Bounds are those at the start; BoundsChanged brings others.
+	Bounds cataloger.Bounds
 }
 
 // State holds what a daemon knows and what it is doing. It changes in place and has one owner.
@@ -153,6 +147,8 @@
 		s.removeUpstream(e.ID)
 	case MembersChanged:
 		s.changeMembers(now, e.Members)
+	case BoundsChanged:
+		s.changeBounds(e.Bounds)
 	case DomainEvacuated:
 		s.evacuate(e)
 	case TimerFired:
--- a/gatherer/world_test.go
+++ b/gatherer/world_test.go
@@ -122,8 +122,8 @@
 			subs: make(map[uint64]string),
 		}
 		d.state = gatherer.New(gatherer.Settings{
-			VM: d.vm, Region: d.region, Seed: seed + uint64(i), RetryRatio: retryRatio, RetrySlack: retrySlack,
-			ColdOverage: coldOverage, ColdSlack: coldSlack,
+			VM: d.vm, Region: d.region, Seed: seed + uint64(i),
+			Bounds: cataloger.Bounds{RetryRatio: retryRatio, RetrySlack: retrySlack, ColdOverage: coldOverage, ColdSlack: coldSlack},
 		})
 		w.daemons = append(w.daemons, d)
 	}
