Keep one type for the terms of a sub-query, and play upstreams with queues

SubQuery in executor, Ask and SubQueryArrived repeated the same ten fields; all three now hold gatherer.SubQuery. The fake upstreams of the virtual fleet queue a bounded number of requests, reject the rest, and drop a request whose asker has gone, as the platform's upstreams do. Bounds of existing tests are unchanged.

--- a/executor/peer.go
+++ b/executor/peer.go
@@ -16,22 +16,11 @@
 // GatherPath is the path at which daemons take sub-queries from each other.
 const GatherPath = "/v1/gather"
 
-// SubQuery is the message by which a daemon asks another to gather some shards. Times are in milliseconds.
+// SubQuery is the message by which a daemon asks another to gather some shards.
 type SubQuery struct {
-	_        struct{} `cbor:",toarray"`
-	Request  Request
-	Route    string
-	Shards   []string
-	TopK     int
-	Groups   int
-	Attempts int
-	// Extra says that a first request for the shards was sent already, to the upstreams in Avoid.
-	Extra   bool
-	Avoid   []string
-	Regions []string
-	MaySkip int
-	Within  tiller.Millis
-	Left    tiller.Millis
+	_       struct{} `cbor:",toarray"`
+	Request Request
+	Terms   gatherer.SubQuery
 }
 
 // peerGrace is added to the time of a sub-query before its connection is closed.
@@ -40,10 +29,7 @@
 // ask sends a sub-query to another daemon in a goroutine of its own.
 func (x *Executor) ask(e gatherer.Ask) {
 	t := x.tickets[e.Query]
-	message := SubQuery{
-		Request: t.request, Route: e.Route, Shards: e.Shards, TopK: e.TopK, Groups: e.Groups, Attempts: e.Attempts, Extra: e.Extra, Avoid: e.Avoid,
-		Regions: e.Regions, MaySkip: e.MaySkip, Within: e.Within, Left: e.Left,
-	}
+	message := SubQuery{Request: t.request, Terms: e.SubQuery}
 	ctx := x.begin(e.Attempt, e.Left+peerGrace)
 	go func() {
 		accepted := func() { x.Step(gatherer.SubQueryAccepted{Attempt: e.Attempt}) }
--- a/gatherer/arrive.go
+++ b/gatherer/arrive.go
@@ -48,8 +48,7 @@
 	}
 }
 
-// arriveSub admits the sub-query of another daemon. It names the shards itself, so that both
-// daemons gather the shards of one configuration whatever each has in force.
+// arriveSub admits the sub-query of another daemon.
 func (s *State) arriveSub(now tiller.Millis, e SubQueryArrived) {
 	if !s.knows(e.Shards) {
 		s.emit(ReplySub{Query: e.Query, Reply: SubReply{NoCapacity: true}, Decision: Decision{ID: e.ID, Route: e.Route, Configuration: s.Version()}})
--- a/gatherer/effect.go
+++ b/gatherer/effect.go
@@ -24,18 +24,7 @@
 	Query   uint64
 	Attempt uint64
 	Member  cataloger.Member
-	Route   string
-	Shards  []string
-	TopK    int
-	// Groups is the number of groups that the query's shards are divided into.
-	Groups   int
-	Attempts int
-	Extra    bool
-	Avoid    []string
-	Regions  []string
-	MaySkip  int
-	Within   tiller.Millis
-	Left     tiller.Millis
+	SubQuery
 }
 
 // Warm opens connections to an upstream, so that first requests do not wait for them.
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -24,25 +24,10 @@
 
 // SubQueryArrived is the request of another daemon for some shards of a query.
 type SubQueryArrived struct {
-	Query  uint64
-	ID     string
-	Route  string
-	Shards []string
-	TopK   int
-	// Groups is the number of groups that the query's shards are divided into.
-	Groups   int
-	Attempts int
-	// Extra says that the asking daemon has sent a first request for the shards already.
-	Extra bool
-	// Avoid lists upstreams that were asked already.
-	Avoid   []string
-	Regions []string
-	// MaySkip is the number of shards without which the whole answer still has enough coverage.
-	MaySkip int
-	// Within is the time after which the reply is due if no more than MaySkip shards are missing.
-	Within tiller.Millis
-	// Left is the time after which no reply is of use.
-	Left tiller.Millis
+	Query uint64
+	// ID is the client's identifier of the request.
+	ID string
+	SubQuery
 }
 
 // QueryAbandoned says that the client or the asking daemon has closed its connection.
@@ -126,6 +111,31 @@
 	Waiting int
 }
 
+// SubQuery says what a daemon asks another one to gather. It names the shards itself, so that both
+// gather the shards of one configuration whatever each has in force. Times are in milliseconds.
+type SubQuery struct {
+	_      struct{} `cbor:",toarray"`
+	Route  string
+	Shards []string
+	TopK   int
+	// Groups is the number of groups that the query's shards are divided into.
+	Groups int
+	// Attempts is the number of upstreams of each shard that the request may be sent to.
+	Attempts int
+	// Extra says that the asking daemon has sent a first request for the shards already.
+	Extra bool
+	// Avoid lists upstreams that were asked already.
+	Avoid []string
+	// Regions are the only regions in which the route may be served; empty allows all.
+	Regions []string
+	// MaySkip is the number of shards without which the whole answer still has enough coverage.
+	MaySkip int
+	// Within is the time after which the reply is due if no more than MaySkip shards are missing.
+	Within tiller.Millis
+	// Left is the time after which no reply is of use.
+	Left tiller.Millis
+}
+
 // SubReply is the reply to a sub-query.
 type SubReply struct {
 	_       struct{} `cbor:",toarray"`
--- a/gatherer/load_test.go
+++ b/gatherer/load_test.go
@@ -117,7 +117,7 @@
 	for i := range shards {
 		third := w.servers[fmt.Sprintf("u-%d-0", i)].Upstream
 		third.ID = fmt.Sprintf("u-%d-2", i)
-		w.add(&server{Upstream: third, work: 11})
+		w.add(&server{Upstream: third, work: 11, queue: 12})
 	}
 	for _, s := range w.servers {
 		s.pauseEvery, s.pause, s.pausePhase = 3000, 250, tiller.Millis(w.random.IntN(3000))
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -185,18 +185,18 @@
 	}
 	s.attempts[a.id] = a
 	q.attempts = append(q.attempts, a.id)
-	effect := Ask{
-		Query: q.id, Attempt: a.id, Member: p.Member, Route: q.route.Name, TopK: q.topK,
-		Groups: q.groups, Attempts: limit, Extra: extra, Regions: q.route.Regions, MaySkip: len(q.shards) - q.needed,
-		Within: q.within(now, p), Left: max(q.end-now-tiller.Millis(p.way/2), minPeerMillis),
+	sub := SubQuery{
+		Route: q.route.Name, TopK: q.topK, Groups: q.groups, Attempts: limit, Extra: extra, Regions: q.route.Regions,
+		MaySkip: len(q.shards) - q.needed,
+		Within:  q.within(now, p), Left: max(q.end-now-tiller.Millis(p.way/2), minPeerMillis),
 	}
 	accept := now + tiller.Millis(acceptFactor*p.way) + acceptMillis
 	a.acceptBy = accept
 	for _, sh := range shards {
 		sh.hedgeAt, sh.asked = accept, a
-		effect.Shards = append(effect.Shards, sh.service)
+		sub.Shards = append(sub.Shards, sh.service)
 		for _, u := range sh.tried {
-			effect.Avoid = append(effect.Avoid, u.ID)
+			sub.Avoid = append(sub.Avoid, u.ID)
 		}
 		sh.outstanding += limit
 		sh.tries++
@@ -204,5 +204,5 @@
 	}
 	q.sent++
 	p.stat.Sent(now, a.id)
-	s.emit(effect)
+	s.emit(Ask{Query: q.id, Attempt: a.id, Member: p.Member, SubQuery: sub})
 }
--- a/gatherer/world_test.go
+++ b/gatherer/world_test.go
@@ -50,11 +50,13 @@
 // sent is an attempt on its way.
 type sent struct{ abandon func() }
 
-// server is a fake upstream.
+// server is a fake upstream: it runs Slots requests at once, lets queue more wait, and rejects the rest.
 type server struct {
 	cataloger.Upstream
 	work       tiller.Millis
-	busy       []tiller.Millis
+	queue      int
+	running    int
+	waiting    []*job
 	pauseEvery tiller.Millis
 	pausePhase tiller.Millis
 	pause      tiller.Millis
@@ -64,6 +66,13 @@
 	requests   []tiller.Millis
 }
 
+// job is a request at an upstream.
+type job struct {
+	ended  bool
+	starts bool
+	done   func(waiting int)
+}
+
 type arrival struct {
 	at       tiller.Millis
 	id       string
@@ -132,7 +141,7 @@
 			region := regions[(i+j)%len(regions)]
 			w.add(&server{Upstream: cataloger.Upstream{
 				ID: fmt.Sprintf("u-%d-%d", i, j), Service: shardName(i), Address: "address", Domain: region + "-a", Region: region, Slots: 2,
-			}, work: 11})
+			}, work: 11, queue: 12})
 		}
 	}
 	w.configure(1, w.gatherRoute())
@@ -294,13 +303,19 @@
 	lost := func(reason tiller.Reason) gatherer.AttemptEnded {
 		return gatherer.AttemptEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, reason, nil)}
 	}
-	d.sent[e.Attempt] = &sent{abandon: func() { end(lost(tiller.ReasonCancelled)) }}
-	w.after(e.Left, func() { end(lost(tiller.ReasonTimeout)) })
-	w.after(way(d.region, s.Region), func() {
-		event, took := w.serve(s, id)
-		if took >= 0 {
-			w.after(took+way(d.region, s.Region), func() { end(event) })
+	cancel := func() {}
+	leave := func(reason tiller.Reason) {
+		if !ended {
+			w.after(way(d.region, s.Region), func() { cancel() })
 		}
+		end(lost(reason))
+	}
+	d.sent[e.Attempt] = &sent{abandon: func() { leave(tiller.ReasonCancelled) }}
+	w.after(e.Left, func() { leave(tiller.ReasonTimeout) })
+	w.after(way(d.region, s.Region), func() {
+		cancel = w.serve(s, id, func(event gatherer.AttemptEnded) {
+			w.after(way(d.region, s.Region), func() { end(event) })
+		})
 	})
 }
 
@@ -312,35 +327,78 @@
 	return fmt.Sprintf("q-%d", query)
 }
 
-// serve lets a request arrive at an upstream. It returns the answer and the time that it takes;
-// a negative time means that no answer comes.
-func (w *world) serve(s *server, id string) (gatherer.AttemptEnded, tiller.Millis) {
+// serve lets a request arrive at an upstream, which answers or says nothing. The function returned
+// tells the upstream that nobody waits for the answer any more.
+func (w *world) serve(s *server, id string, answer func(gatherer.AttemptEnded)) (cancel func()) {
 	if s.silent {
-		return gatherer.AttemptEnded{}, -1
+		return func() {}
 	}
 	a := arrival{at: w.now, id: id, upstream: s.ID}
 	s.requests = append(s.requests, w.now)
-	if w.random.Float64() < s.shed {
+	if w.random.Float64() < s.shed || len(s.waiting) >= s.queue {
 		w.arrivals[s.Service] = append(w.arrivals[s.Service], a)
-		return gatherer.AttemptEnded{Answer: gatherer.Answer{Status: 503, NotExecuted: true}}, 0
+		answer(gatherer.AttemptEnded{Answer: gatherer.Answer{Status: 503, NotExecuted: true}})
+		return func() {}
 	}
 	a.ran = true
 	w.arrivals[s.Service] = append(w.arrivals[s.Service], a)
-	start := w.now
-	if s.pauseEvery > 0 {
-		if phase := (w.now + s.pausePhase) % s.pauseEvery; phase < s.pause {
-			start += s.pause - phase
+	reset := w.random.Float64() < s.reset
+	j := &job{done: func(waiting int) {
+		if reset {
+			answer(gatherer.AttemptEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, nil)})
+			return
+		}
+		answer(gatherer.AttemptEnded{Answer: gatherer.Answer{Status: 200, Stamp: id + s.ID, Body: make([]byte, 32), Waiting: waiting}})
+	}}
+	s.waiting = append(s.waiting, j)
+	w.startJobs(s)
+	return func() {
+		if !j.ended {
+			w.endJob(s, j)
 		}
 	}
-	if len(s.busy) >= s.Slots {
-		start = max(start, s.busy[len(s.busy)-s.Slots])
+}
+
+// startJobs lets waiting requests run while there are slots.
+func (w *world) startJobs(s *server) {
+	for s.running < s.Slots && len(s.waiting) > 0 {
+		j := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		if j.ended {
+			continue
+		}
+		s.running++
+		j.starts = true
+		took := s.work
+		if s.pauseEvery > 0 {
+			if phase := (w.now + s.pausePhase) % s.pauseEvery; phase < s.pause {
+				took += s.pause - phase
+			}
+		}
+		w.after(took, func() {
+			if !j.ended {
+				w.endJob(s, j)
+				j.done(len(s.waiting))
+			}
+		})
 	}
-	done := start + s.work
-	s.busy = append(s.busy, done)
-	if w.random.Float64() < s.reset {
-		return gatherer.AttemptEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, nil)}, done - w.now
+}
+
+// endJob frees the place of a request.
+func (w *world) endJob(s *server, j *job) {
+	j.ended = true
+	if j.starts {
+		s.running--
+	} else {
+		kept := s.waiting[:0]
+		for _, other := range s.waiting {
+			if other != j {
+				kept = append(kept, other)
+			}
+		}
+		s.waiting = kept
 	}
-	return gatherer.AttemptEnded{Answer: gatherer.Answer{Status: 200, Stamp: id + s.ID, Body: make([]byte, 32)}}, done - w.now
+	w.startJobs(s)
 }
 
 func (w *world) ask(d *daemon, e gatherer.Ask) {
@@ -381,9 +439,6 @@
 		if !peer.dead {
 			w.after(way(d.region, peer.region), func() { w.step(d, gatherer.SubQueryAccepted{Attempt: e.Attempt}) })
 		}
-		w.step(peer, gatherer.SubQueryArrived{
-			Query: query, ID: "sub of " + id, Route: e.Route, Shards: e.Shards, TopK: e.TopK, Groups: e.Groups, Attempts: e.Attempts,
-			Extra: e.Extra, Avoid: e.Avoid, Regions: e.Regions, MaySkip: e.MaySkip, Within: e.Within, Left: e.Left,
-		})
+		w.step(peer, gatherer.SubQueryArrived{Query: query, ID: "sub of " + id, SubQuery: e.SubQuery})
 	})
 }
--- a/receiver/peer.go
+++ b/receiver/peer.go
@@ -35,10 +35,7 @@
 	if err := http.NewResponseController(w).Flush(); err != nil || hasLeft(r.Context()) {
 		return
 	}
-	t := h.executor.SubmitSub(m.Request, gatherer.SubQueryArrived{
-		Route: m.Route, Shards: m.Shards, TopK: m.TopK, Groups: m.Groups, Attempts: m.Attempts, Extra: m.Extra, Avoid: m.Avoid, Regions: m.Regions,
-		MaySkip: m.MaySkip, Within: m.Within, Left: m.Left,
-	})
+	t := h.executor.SubmitSub(m.Request, gatherer.SubQueryArrived{SubQuery: m.Terms})
 	select {
 	case o := <-t.Done:
 		writeSubReply(w, o)
