Keep few requests at upstreams that are short, and let the others wait in order

This daemon now has as many requests outstanding at an upstream as the fleet's share works off in 75 ms. Shards without room wait: those that can be in time first, then those whose query has no coverage yet, by priority, and by the client's identifier, so that different shards serve the same queries. An answered query gives up its place at once when others wait for it.

--- a/gatherer/arrive.go
+++ b/gatherer/arrive.go
@@ -19,7 +19,7 @@
 		s.refuseArrival(e, tiller.ReasonUnknownRoute, 0)
 		return
 	}
-	q := &query{id: e.Query, clientID: e.ID, route: route, version: s.configuration.Version, arrived: now}
+	q := &query{id: e.Query, clientID: e.ID, rank: rankOf(e.ID), route: route, version: s.configuration.Version, arrived: now}
 	s.setTimes(q, e)
 	if route.Gathers() {
 		q.topK = route.TopK
@@ -55,13 +55,14 @@
 		return
 	}
 	q := &query{
-		id: e.Query, clientID: e.ID, version: s.Version(), sub: true, extra: e.Extra, arrived: now,
+		id: e.Query, clientID: e.ID, rank: rankOf(e.ID), version: s.Version(), sub: true, extra: e.Extra, arrived: now,
 		answerBy: now + max(e.Within, 1), end: now + max(e.Within, e.Left, 1),
 		topK: e.TopK, groups: e.Groups, needed: max(len(e.Shards)-e.MaySkip, 0),
 	}
 	q.route.Name = e.Route
 	q.route.Repeatable = true
 	q.route.Attempts = max(e.Attempts, 1)
+	q.route.Priority = e.Priority
 	q.route.Regions = e.Regions
 	q.addShards(e.Shards)
 	for _, sh := range q.shards {
@@ -139,6 +140,9 @@
 		case a.peer != nil && !a.accepted:
 			// The other daemon must not begin it any more.
 			s.emit(Cancel{Attempt: id})
+		case a.upstream != nil && len(s.waiting[a.upstream.Service]) > 0:
+			// Other queries wait for its place.
+			s.emit(Cancel{Attempt: id})
 		default:
 			s.emit(Cancel{Attempt: id, After: linger})
 		}
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -17,6 +17,7 @@
 	s.measure(now, a, e)
 	sh := a.shards[0]
 	sh.outstanding--
+	defer s.admit(now, sh.service)
 	if a.query.ended {
 		return
 	}
@@ -141,8 +142,12 @@
 		return false
 	}
 	u := s.next(now, sh)
-	if u == nil && sh.outstanding == 0 && s.isCrowded(now, sh) {
-		sh.hedgeAt = now + crowdedPauseMillis
+	if u == nil && s.lacksRoom(now, sh) || u != nil && s.isBehind(now, sh) {
+		if sh.outstanding == 0 {
+			s.wait(now, sh)
+		} else {
+			sh.hedgeAt = now + roomPauseMillis
+		}
 		return true
 	}
 	if u == nil {
--- a/gatherer/choose.go
+++ b/gatherer/choose.go
@@ -87,7 +87,7 @@
 func (s *State) best(now tiller.Millis, sh *shard, again bool) (near, far candidate) {
 	near.cost, far.cost = math.Inf(1), math.Inf(1)
 	for _, u := range s.services[sh.service] {
-		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || u.isDown(now) || !s.mayCarry(u) || !s.admitsCold(now, u) {
+		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || u.isDown(now) || !s.hasRoom(now, u, sh.query) || !s.admitsCold(now, u) {
 			continue
 		}
 		c := candidate{upstream: u, cost: s.cost(now, u, sh.query)}
@@ -118,14 +118,3 @@
 	}
 	return c.upstream
 }
-
-// isCrowded says whether a shard has an upstream that could be asked if this daemon had fewer
-// requests outstanding there.
-func (s *State) isCrowded(now tiller.Millis, sh *shard) bool {
-	for _, u := range s.services[sh.service] {
-		if s.isUsable(u, sh.query.route) && !u.isDown(now) && !s.mayCarry(u) {
-			return true
-		}
-	}
-	return false
-}
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -122,6 +122,8 @@
 	Groups int
 	// Attempts is the number of upstreams of each shard that the request may be sent to.
 	Attempts int
+	// Priority is the rank of the route; 0 is the highest.
+	Priority int
 	// Extra says that the asking daemon has sent a first request for the shards already.
 	Extra bool
 	// Avoid lists upstreams that were asked already.
--- a/gatherer/hedge.go
+++ b/gatherer/hedge.go
@@ -12,9 +12,6 @@
 	hedgeFactor = 2.0
 	// hedgeSlackMillis is added to that, for late timers and short queues.
 	hedgeSlackMillis = 6.0
-	// crowdedPauseMillis is the wait before a shard whose upstreams have enough requests is looked at
-	// again.
-	crowdedPauseMillis = 8
 	// shedPauseMillis is the wait before an upstream that has turned a request away is asked again.
 	shedPauseMillis = 12
 	// acceptFactor and acceptMillis bound the time in which another daemon accepts a sub-query, as a
--- a/gatherer/load_test.go
+++ b/gatherer/load_test.go
@@ -245,3 +245,25 @@
 		require.LessOrEqual(t, len(arrivals)-len(first), 9+int(0.02*float64(len(first)))+1, service)
 	}
 }
+
+// Three shards have lost one of their upstreams, and the other one takes six times as long, so that it
+// bears a quarter of the requests. Most queries can do without two shards only. Those that can be
+// served must be: requests that wait in a long queue at such an upstream are all late.
+func TestShortShardsServeWhatTheyCan(t *testing.T) {
+	w := newWorld(t, 10)
+	w.load(4000, 90, "/q/1")
+	w.run(4000)
+	for i := range 3 {
+		w.servers[fmt.Sprintf("u-%d-0", 4*i)].silent = true
+		w.servers[fmt.Sprintf("u-%d-1", 4*i)].work = 70
+	}
+	w.load(6000, 90, "/q/1")
+	w.run(6000)
+	w.outcomes = make(map[string]*outcome)
+	w.load(16000, 90, "/q/1")
+	w.run(18000)
+	t.Logf("in time: %.3f", w.share(inTime))
+	require.GreaterOrEqual(t, w.share(inTime), 0.25)
+	w.requireBudget()
+	w.requireAttempts(2)
+}
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -115,10 +115,10 @@
 func (s *State) sendFirst(now tiller.Millis, sh *shard) {
 	u := s.next(now, sh)
 	switch {
-	case u != nil:
+	case u != nil && !s.isBehind(now, sh):
 		s.send(now, sh, u, s.pay(sh))
-	case s.isCrowded(now, sh):
-		sh.hedgeAt = now + crowdedPauseMillis
+	case u != nil || s.lacksRoom(now, sh):
+		s.wait(now, sh)
 	default:
 		sh.lose(tiller.ReasonNoUpstream)
 	}
@@ -186,7 +186,7 @@
 	s.attempts[a.id] = a
 	q.attempts = append(q.attempts, a.id)
 	sub := SubQuery{
-		Route: q.route.Name, TopK: q.topK, Groups: q.groups, Attempts: limit, Extra: extra, Regions: q.route.Regions,
+		Route: q.route.Name, TopK: q.topK, Groups: q.groups, Attempts: limit, Priority: q.route.Priority, Extra: extra, Regions: q.route.Regions,
 		MaySkip: len(q.shards) - q.needed,
 		Within:  q.within(now, p), Left: max(q.end-now-tiller.Millis(p.way/2), minPeerMillis),
 	}
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -9,8 +9,10 @@
 type query struct {
 	id       uint64
 	clientID string
-	route    cataloger.Route
-	version  int64
+	// rank orders the query among others of its priority, alike in all daemons.
+	rank    uint64
+	route   cataloger.Route
+	version int64
 	// sub says that another daemon asked, for some of the shards.
 	sub bool
 	// extra says that the asking daemon has sent first requests for the shards.
@@ -52,6 +54,8 @@
 	hedgeAt tiller.Millis
 	// asked is the sub-query that the shard is part of; nil when there is none.
 	asked *attempt
+	// waiting says that the shard waits for room at an upstream.
+	waiting bool
 	// counted says that the shard's first request has added to the budget, here or elsewhere.
 	counted bool
 	// arrivals is the number of requests that may have arrived at an upstream.
--- /dev/null
+++ b/gatherer/room.go
@@ -0,0 +1,137 @@
+package gatherer
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+)
+
+// The decisions below answer the load at which a few shards are short of capacity: one of their
+// upstreams is lost and another one slow, so that they bear a part of the requests only. Requests
+// that wait in long queues at such upstreams are all late. So few are outstanding there, the others
+// wait here, and those that can still be in time go first, in an order that all daemons share.
+
+const (
+	// roomMillis is the time in which an upstream is to work off what all daemons have sent it: about
+	// half of the target latencies, whose rest is for the ways and for slower requests.
+	roomMillis = 75.0
+	// roomPauseMillis is the wait before a shard without room is looked at again, if no request at
+	// its upstreams ends before.
+	roomPauseMillis = 8
+)
+
+// hasRoom says whether one more request of a query may be outstanding at an upstream.
+func (s *State) hasRoom(now tiller.Millis, u *upstream, q *query) bool {
+	if !s.mayCarry(u) {
+		return false
+	}
+	return q.single() || u.stat.Inflight() < s.room(now, u, q)
+}
+
+// room returns the number of requests of shards that this daemon may have outstanding at an upstream.
+func (s *State) room(now tiller.Millis, u *upstream, q *query) int {
+	service := u.stat.Service(now, s.expected(now, u, q))
+	share := float64(max(u.Slots, 1)) / float64(s.gatherersOf(u))
+	return max(int(roomMillis*share/max(service, 1)), 1)
+}
+
+// gatherersOf returns the number of daemons that ask an upstream for shards regularly.
+func (s *State) gatherersOf(u *upstream) int {
+	if s.isGrouped(u.Service) {
+		return gatherersPerGroup
+	}
+	n := len(s.byRegion[u.Region])
+	if u.Region == s.settings.Region {
+		n++
+	}
+	return max(n, 1)
+}
+
+// lacksRoom says whether an upstream that a shard could be sent to has no room now.
+func (s *State) lacksRoom(now tiller.Millis, sh *shard) bool {
+	for _, u := range s.services[sh.service] {
+		if s.isUsable(u, sh.query.route) && !u.isDown(now) && !(sh.outstanding > 0 && sh.hasTried(u)) && !s.hasRoom(now, u, sh.query) {
+			return true
+		}
+	}
+	return false
+}
+
+// wait lets a shard wait for room at an upstream.
+func (s *State) wait(now tiller.Millis, sh *shard) {
+	sh.hedgeAt = now + roomPauseMillis
+	if !sh.waiting {
+		sh.waiting = true
+		s.waiting[sh.service] = append(s.waiting[sh.service], sh)
+	}
+}
+
+// admit sends the shards that wait for room at the upstreams of a service, while there is room.
+func (s *State) admit(now tiller.Millis, service string) {
+	for {
+		sh := s.firstWaiting(now, service)
+		if sh == nil || s.next(now, sh) == nil {
+			return
+		}
+		sh.waiting = false
+		sh.hedgeAt = now
+		s.evaluate(now, sh.query)
+		if sh.waiting {
+			return
+		}
+	}
+}
+
+// firstWaiting returns the shard of a service that is to get room next; nil when none waits. It
+// forgets those that do not need it any more.
+func (s *State) firstWaiting(now tiller.Millis, service string) *shard {
+	var first *shard
+	kept := s.waiting[service][:0]
+	for _, sh := range s.waiting[service] {
+		if !sh.waiting || sh.status != shardOpen || sh.query.ended {
+			sh.waiting = false
+			continue
+		}
+		kept = append(kept, sh)
+		if first == nil || s.precedes(now, sh, first) {
+			first = sh
+		}
+	}
+	if len(kept) == 0 {
+		delete(s.waiting, service)
+		return nil
+	}
+	s.waiting[service] = kept
+	return first
+}
+
+// isBehind says whether another shard of the service is to get room first.
+func (s *State) isBehind(now tiller.Millis, sh *shard) bool {
+	first := s.firstWaiting(now, sh.service)
+	return first != nil && first != sh && (sh.outstanding > 0 || s.precedes(now, first, sh))
+}
+
+// precedes says whether shard a gets room before b: one that can be in time before one that is late,
+// then by the route's priority, then by the client's identifier, so that different shards serve the
+// same queries and not a part of each.
+func (s *State) precedes(now tiller.Millis, a, b *shard) bool {
+	if late := a.query.isLate(now); late != b.query.isLate(now) {
+		return !late
+	}
+	if covered := a.query.isCovered(); covered != b.query.isCovered() {
+		return !covered
+	}
+	if a.query.route.Priority != b.query.route.Priority {
+		return a.query.route.Priority < b.query.route.Priority
+	}
+	return a.query.rank < b.query.rank
+}
+
+// isLate says whether a query's answer cannot be in time any more.
+func (q *query) isLate(now tiller.Millis) bool { return now >= q.answerBy }
+
+// isCovered says whether a query can be answered without further shards.
+func (q *query) isCovered() bool { return q.done >= q.needed }
+
+// rankOf returns the rank of a client's request among those of one priority.
+func rankOf(clientID string) uint64 { return xxhash.Sum64String(clientID) }
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -69,9 +69,11 @@
 	budgets       map[string]hedger.Budget
 	splits        map[string]*split
 	deadlines     map[string]*commonDeadline
-	priors        map[priorKey]*hedger.Latency
-	pauses        *balancer.Pauses
-	effects       []Effect
+	// waiting holds, by service, the shards that wait for room at an upstream.
+	waiting map[string][]*shard
+	priors  map[priorKey]*hedger.Latency
+	pauses  *balancer.Pauses
+	effects []Effect
 }
 
 // upstream is an upstream with what is known of it.
@@ -113,6 +115,7 @@
 		budgets:   make(map[string]hedger.Budget),
 		splits:    make(map[string]*split),
 		deadlines: make(map[string]*commonDeadline),
+		waiting:   make(map[string][]*shard),
 		priors:    make(map[priorKey]*hedger.Latency),
 		pauses:    balancer.NewPauses(),
 	}
