Wait for the better upstream, and put queries in vain behind others

Cause: since few requests are outstanding at a slow upstream, a shard without room there went to its other upstream, which was known to be silent, and its second request used up the budget. An upstream without room now counts with the wait for it, and the shard waits when the other is worse by more. Besides, queries of a route that may leave out two shards took the places of one that may leave out five, while six shards were short. Each daemon now keeps how often a shard was missing lately; queries with less than an even chance of their coverage come last.

Ruled out: refusing such queries at once. It needs trials to see that shards are back, and refuses on for a second or two after any short failure of many shards.

--- a/gatherer/arrive.go
+++ b/gatherer/arrive.go
@@ -30,6 +30,7 @@
 		q.needed = 1
 		q.addShards([]string{s.pickService(route)})
 	}
+	q.unlikely = s.isUnlikely(now, q)
 	s.queries[q.id] = q
 	s.start(now, q)
 }
@@ -63,6 +64,7 @@
 	q.route.Repeatable = true
 	q.route.Attempts = max(e.Attempts, 1)
 	q.route.Priority = e.Priority
+	q.unlikely = e.Unlikely
 	q.route.Regions = e.Regions
 	q.addShards(e.Shards)
 	for _, sh := range q.shards {
@@ -124,14 +126,15 @@
 	if !ok {
 		return
 	}
-	s.finish(q, 0)
+	s.finish(now, q, 0)
 	s.emit(Refuse{Query: id, Verdict: tiller.MayHaveRun, Reason: tiller.ReasonCancelled, Decision: q.decision(now)})
 }
 
 // finish forgets a query and cancels what it still has outstanding after a delay. Within the delay
 // an answer that comes late still tells the latency and saves the connection.
-func (s *State) finish(q *query, linger tiller.Millis) {
+func (s *State) finish(now tiller.Millis, q *query, linger tiller.Millis) {
 	q.ended = true
+	s.learnMissing(now, q)
 	delete(s.queries, q.id)
 	for _, id := range q.attempts {
 		a, ok := s.attempts[id]
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -108,7 +108,7 @@
 // pass answers a query with the answer of an upstream.
 func (s *State) pass(now tiller.Millis, q *query, attempt uint64) {
 	s.emit(Pass{Query: q.id, Attempt: attempt, Decision: q.decision(now)})
-	s.finish(q, lingerMillis)
+	s.finish(now, q, lingerMillis)
 }
 
 // again decides what follows a failed request: another upstream, a wait for the one still
@@ -141,18 +141,15 @@
 		sh.reason = tiller.ReasonRetryBudget
 		return false
 	}
-	u := s.next(now, sh)
-	if u == nil && s.lacksRoom(now, sh) || u != nil && s.isBehind(now, sh) {
-		if sh.outstanding == 0 {
-			s.wait(now, sh)
-		} else {
-			sh.hedgeAt = now + roomPauseMillis
-		}
-		return true
-	}
+	c := s.next(now, sh)
+	u := c.upstream
 	if u == nil {
 		return false
 	}
+	if c.full || s.isBehind(now, sh) {
+		s.wait(now, sh)
+		return true
+	}
 	if sh.hasTried(u) && reason == tiller.ReasonShed && sh.hedgeAt != now {
 		sh.hedgeAt = now + shedPauseMillis
 		return sh.hedgeAt < sh.query.end-minUsefulMillis
--- a/gatherer/choose.go
+++ b/gatherer/choose.go
@@ -80,6 +80,8 @@
 type candidate struct {
 	upstream *upstream
 	cost     float64
+	// full says that the upstream has no room now; the cost holds the wait for it.
+	full bool
 }
 
 // best returns the cheapest upstream for a shard that was not asked before; when all were asked,
@@ -87,10 +89,14 @@
 func (s *State) best(now tiller.Millis, sh *shard, again bool) (near, far candidate) {
 	near.cost, far.cost = math.Inf(1), math.Inf(1)
 	for _, u := range s.services[sh.service] {
-		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || u.isDown(now) || !s.hasRoom(now, u, sh.query) || !s.admitsCold(now, u) {
+		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || u.isDown(now) || !s.admitsCold(now, u) {
 			continue
 		}
 		c := candidate{upstream: u, cost: s.cost(now, u, sh.query)}
+		if !s.hasRoom(now, u, sh.query) {
+			c.full = true
+			c.cost += u.stat.Service(now, s.expected(now, u, sh.query))
+		}
 		if u.Region == s.settings.Region {
 			if c.cost < near.cost {
 				near = c
@@ -110,11 +116,12 @@
 	return a
 }
 
-// next returns the upstream for the next request of a shard; nil when there is none.
-func (s *State) next(now tiller.Millis, sh *shard) *upstream {
+// next returns the upstream for the next request of a shard; nil when there is none. It may be one
+// without room: waiting for it is better than to ask one that is worse by more than the wait.
+func (s *State) next(now tiller.Millis, sh *shard) candidate {
 	c := cheaper(s.best(now, sh, false))
 	if c.upstream == nil && len(sh.tried) > 0 && sh.outstanding == 0 {
 		c = cheaper(s.best(now, sh, true))
 	}
-	return c.upstream
+	return c
 }
--- a/gatherer/evaluate.go
+++ b/gatherer/evaluate.go
@@ -21,6 +21,9 @@
 	if q.ended {
 		return
 	}
+	if q.isLate(now) {
+		s.learnMissing(now, q)
+	}
 	if now < q.end {
 		s.hedge(now, q)
 	}
@@ -90,7 +93,7 @@
 	s.emit(ReplyGathered{
 		Query: q.id, Stamps: stamps, Missing: len(q.shards) - q.done, Records: records, Decision: q.decision(now),
 	})
-	s.finish(q, lingerMillis)
+	s.finish(now, q, lingerMillis)
 }
 
 func (s *State) replySub(now tiller.Millis, q *query) {
@@ -104,7 +107,7 @@
 	}
 	r.Down = s.downOf(now, q)
 	s.emit(ReplySub{Query: q.id, Reply: r, Decision: q.decision(now)})
-	s.finish(q, lingerMillis)
+	s.finish(now, q, lingerMillis)
 }
 
 // refuse ends a query without an answer. What is outstanding is cancelled at once.
@@ -114,7 +117,7 @@
 		verdict, retryAfter = tiller.MayHaveRun, 0
 	}
 	s.emit(Refuse{Query: q.id, Verdict: verdict, Reason: reason, RetryAfter: retryAfter, Decision: q.decision(now)})
-	s.finish(q, 0)
+	s.finish(now, q, 0)
 }
 
 // assemble returns the parts that have come and their greatest records.
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -124,6 +124,8 @@
 	Attempts int
 	// Priority is the rank of the route; 0 is the highest.
 	Priority int
+	// Unlikely says that the query probably cannot be answered with enough coverage.
+	Unlikely bool
 	// Extra says that the asking daemon has sent a first request for the shards already.
 	Extra bool
 	// Avoid lists upstreams that were asked already.
--- a/gatherer/load_test.go
+++ b/gatherer/load_test.go
@@ -11,6 +11,13 @@
 	"github.com/carawaytiller/carawaytiller/gatherer"
 )
 
+// The operators' floors for a day of high load: the share of all requests and of each kind of request
+// that is to be served in time.
+const (
+	floor     = 0.437
+	kindFloor = 0.42
+)
+
 // requireBudget checks the extra arrivals of each service against the operators' budget, in every
 // window that begins with an arrival.
 func (w *world) requireBudget() {
@@ -262,8 +269,62 @@
 	w.outcomes = make(map[string]*outcome)
 	w.load(16000, 90, "/q/1")
 	w.run(18000)
-	t.Logf("in time: %.3f", w.share(inTime))
-	require.GreaterOrEqual(t, w.share(inTime), 0.25)
+	require.GreaterOrEqual(t, w.share(inTime), floor)
+	w.requireBudget()
+	w.requireAttempts(2)
+}
+
+// Six shards are short: one of their upstreams is silent and the other one slow. A route that may leave
+// out two shards is mostly in vain, one that may leave out five needs only one of the six, and must
+// get it, although its priority is lower.
+func TestRouteOutOfReachLeavesRoomToOthers(t *testing.T) {
+	w := newWorld(t, 11)
+	check := w.gatherRoute()
+	check.Name, check.Prefix, check.MinCoverage, check.Priority = "check", "/c/", 0.75, 2
+	w.configure(2, w.gatherRoute(), check)
+	for i := range 6 {
+		w.servers[fmt.Sprintf("u-%d-0", 3*i)].silent = true
+		w.servers[fmt.Sprintf("u-%d-1", 3*i)].work = 60
+	}
+	w.load(4000, 70, "/q/1")
+	w.run(4000)
+	w.outcomes = make(map[string]*outcome)
+	w.load(10000, 70, "/q/1")
+	w.run(10000)
+	w.outcomes = make(map[string]*outcome)
+	w.load(16000, 70, "/q/1")
+	w.load(16000, 20, "/c/1")
+	w.run(18000)
+	checks := make(map[string]*outcome)
+	for id, o := range w.outcomes {
+		if o.path == "/c/1" {
+			checks[id] = o
+		}
+	}
+	w.outcomes = checks
+	served := w.share(func(o *outcome) bool { return o.parts >= 15 && o.took <= 200 })
+	require.GreaterOrEqual(t, served, kindFloor)
 	w.requireBudget()
 	w.requireAttempts(2)
 }
+
+// Shards that are back must be served again soon, also when nothing but refused queries asks for them.
+func TestForecastIsForgotten(t *testing.T) {
+	w := newWorld(t, 12)
+	for i := range 6 {
+		for j := range 2 {
+			w.servers[fmt.Sprintf("u-%d-%d", 3*i, j)].silent = true
+		}
+	}
+	w.load(5000, 70, "/q/1")
+	w.run(5000)
+	for _, s := range w.servers {
+		s.silent = false
+	}
+	w.load(8000, 70, "/q/1")
+	w.run(8000)
+	w.outcomes = make(map[string]*outcome)
+	w.load(12000, 70, "/q/1")
+	w.run(14000)
+	require.GreaterOrEqual(t, w.share(inTime), 0.99)
+}
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -105,22 +105,22 @@
 // detour returns the daemon of another region that a gatherer hands a shard to, because the upstream
 // of the own region pauses or is slow; nil when the shard is asked directly.
 func (s *State) detour(now tiller.Millis, sh *shard) *peer {
-	if u := s.next(now, sh); u != nil {
-		return s.peerNear(now, u, sh.query)
+	if c := s.next(now, sh); c.upstream != nil {
+		return s.peerNear(now, c.upstream, sh.query)
 	}
 	return nil
 }
 
 // sendFirst sends the first request of a shard.
 func (s *State) sendFirst(now tiller.Millis, sh *shard) {
-	u := s.next(now, sh)
+	c := s.next(now, sh)
 	switch {
-	case u != nil && !s.isBehind(now, sh):
-		s.send(now, sh, u, s.pay(sh))
-	case u != nil || s.lacksRoom(now, sh):
+	case c.upstream == nil:
+		sh.lose(tiller.ReasonNoUpstream)
+	case c.full || s.isBehind(now, sh):
 		s.wait(now, sh)
 	default:
-		sh.lose(tiller.ReasonNoUpstream)
+		s.send(now, sh, c.upstream, s.pay(sh))
 	}
 }
 
@@ -186,7 +186,7 @@
 	s.attempts[a.id] = a
 	q.attempts = append(q.attempts, a.id)
 	sub := SubQuery{
-		Route: q.route.Name, TopK: q.topK, Groups: q.groups, Attempts: limit, Priority: q.route.Priority, Extra: extra, Regions: q.route.Regions,
+		Route: q.route.Name, TopK: q.topK, Groups: q.groups, Attempts: limit, Priority: q.route.Priority, Unlikely: q.unlikely, Extra: extra, Regions: q.route.Regions,
 		MaySkip: len(q.shards) - q.needed,
 		Within:  q.within(now, p), Left: max(q.end-now-tiller.Millis(p.way/2), minPeerMillis),
 	}
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -36,6 +36,10 @@
 	attempts []uint64
 	trouble  []Trouble
 	ended    bool
+	// unlikely says that the query probably cannot be answered with enough coverage.
+	unlikely bool
+	// learned says that the query has told which shards are missing.
+	learned bool
 }
 
 // shard is the part of a query that one service answers. A query on a plain route has one.
--- a/gatherer/room.go
+++ b/gatherer/room.go
@@ -47,20 +47,11 @@
 	return max(n, 1)
 }
 
-// lacksRoom says whether an upstream that a shard could be sent to has no room now.
-func (s *State) lacksRoom(now tiller.Millis, sh *shard) bool {
-	for _, u := range s.services[sh.service] {
-		if s.isUsable(u, sh.query.route) && !u.isDown(now) && !(sh.outstanding > 0 && sh.hasTried(u)) && !s.hasRoom(now, u, sh.query) {
-			return true
-		}
-	}
-	return false
-}
-
-// wait lets a shard wait for room at an upstream.
+// wait lets a shard wait for room at an upstream. A second request does not stand in line: the first
+// may still be answered.
 func (s *State) wait(now tiller.Millis, sh *shard) {
 	sh.hedgeAt = now + roomPauseMillis
-	if !sh.waiting {
+	if !sh.waiting && sh.outstanding == 0 {
 		sh.waiting = true
 		s.waiting[sh.service] = append(s.waiting[sh.service], sh)
 	}
@@ -70,7 +61,10 @@
 func (s *State) admit(now tiller.Millis, service string) {
 	for {
 		sh := s.firstWaiting(now, service)
-		if sh == nil || s.next(now, sh) == nil {
+		if sh == nil {
+			return
+		}
+		if c := s.next(now, sh); c.upstream == nil || c.full {
 			return
 		}
 		sh.waiting = false
@@ -112,8 +106,9 @@
 }
 
 // precedes says whether shard a gets room before b: one that can be in time before one that is late,
-// then by the route's priority, then by the client's identifier, so that different shards serve the
-// same queries and not a part of each.
+// one whose query lacks coverage before one that it can do without, one whose query will probably get
+// its coverage, then by the route's priority, then by the client's identifier, so that different
+// shards serve the same queries and not a part of each.
 func (s *State) precedes(now tiller.Millis, a, b *shard) bool {
 	if late := a.query.isLate(now); late != b.query.isLate(now) {
 		return !late
@@ -121,6 +116,9 @@
 	if covered := a.query.isCovered(); covered != b.query.isCovered() {
 		return !covered
 	}
+	if a.query.unlikely != b.query.unlikely {
+		return !a.query.unlikely
+	}
 	if a.query.route.Priority != b.query.route.Priority {
 		return a.query.route.Priority < b.query.route.Priority
 	}
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -69,6 +69,8 @@
 	budgets       map[string]hedger.Budget
 	splits        map[string]*split
 	deadlines     map[string]*commonDeadline
+	// missing holds, by service, how often a shard was missing lately.
+	missing map[string]missing
 	// waiting holds, by service, the shards that wait for room at an upstream.
 	waiting map[string][]*shard
 	priors  map[priorKey]*hedger.Latency
@@ -115,6 +117,7 @@
 		budgets:   make(map[string]hedger.Budget),
 		splits:    make(map[string]*split),
 		deadlines: make(map[string]*commonDeadline),
+		missing:   make(map[string]missing),
 		waiting:   make(map[string][]*shard),
 		priors:    make(map[priorKey]*hedger.Latency),
 		pauses:    balancer.NewPauses(),
@@ -180,6 +183,11 @@
 		return
 	}
 	s.configuration = c
+	for service := range s.missing {
+		if c.ShardsWith(service) == 0 {
+			delete(s.missing, service)
+		}
+	}
 }
 
 func (s *State) changeUpstream(now tiller.Millis, u cataloger.Upstream) {
--- a/gatherer/world_test.go
+++ b/gatherer/world_test.go
@@ -82,6 +82,7 @@
 
 // outcome is what a client got.
 type outcome struct {
+	path          string
 	started, took tiller.Millis
 	parts         int
 	missing       int
@@ -275,7 +276,7 @@
 func (w *world) query(d *daemon, path string) string {
 	w.queries++
 	id := fmt.Sprintf("q-%d", w.queries)
-	w.outcomes[id] = &outcome{started: w.now}
+	w.outcomes[id] = &outcome{path: path, started: w.now}
 	w.step(d, gatherer.QueryArrived{Query: w.queries, ID: id, Host: "h", Path: path, Deadline: 1000})
 	return id
 }
