Let a sub-query use all of its attempts only when its beginning is confirmed

The asking daemon counts one request for each shard, but the other one sends second requests until it hears that its connection was closed.

The asking daemon now sends the last byte of the sub-query once it has seen that it was begun, and only while it was not replaced. Before that byte the other daemon sends one request for each shard. No first request waits for it.

Test: TestLateMessagesKeepTheAttempts ran a request on 3 of 2 upstreams before. Ruled out: taking all attempts of a replaced sub-query as used, which loses its shards; holding second requests back for a fixed time, which a cut does not respect.

--- a/balancer/stat.go
+++ b/balancer/stat.go
@@ -42,11 +42,11 @@
 	deviation float64
 	// service is the moving average without the waits at the upstream.
 	service float64
-	updated   tiller.Millis
-	shed      float64
-	failed    float64
-	judged    tiller.Millis
-	waiting   float64
+	updated tiller.Millis
+	shed    float64
+	failed  float64
+	judged  tiller.Millis
+	waiting float64
 	// outstanding holds the send times of unanswered requests by attempt.
 	outstanding map[uint64]tiller.Millis
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -72,6 +72,8 @@
 	cancels   map[uint64]context.CancelFunc
 	// passing is the answer of the attempt whose end is being decided.
 	passing *forwarder.Response
+	// confirming says that the step in progress confirms a sub-query.
+	confirming bool
 }
 
 // New returns an executor of state. New takes ownership of state.
@@ -113,6 +115,9 @@
 // Abandon ends a query whose asker has gone.
 func (x *Executor) Abandon(t *Ticket) { x.Step(gatherer.QueryAbandoned{Query: t.id}) }
 
+// Confirm says that the asking daemon knows that a sub-query was begun.
+func (x *Executor) Confirm(t *Ticket) { x.Step(gatherer.SubQueryConfirmed{Query: t.id}) }
+
 // Step feeds an event.
 func (x *Executor) Step(e gatherer.Event) {
 	x.mu.Lock()
@@ -153,6 +158,8 @@
 		go x.client.Warm(e.Upstream.Address, e.Upstream.ID, e.Connections)
 	case gatherer.Probe:
 		time.AfterFunc(e.After.Duration(), func() { x.probe(e.Member) })
+	case gatherer.Confirm:
+		x.confirming = true
 	case gatherer.Cancel:
 		x.cancel(e)
 	case gatherer.Pass:
--- a/executor/peer.go
+++ b/executor/peer.go
@@ -32,7 +32,7 @@
 	message := SubQuery{Request: t.request, Terms: e.SubQuery}
 	ctx := x.begin(e.Attempt, e.Left+peerGrace)
 	go func() {
-		accepted := func() { x.Step(gatherer.SubQueryAccepted{Attempt: e.Attempt}) }
+		accepted := func() bool { return x.accept(e.Attempt) }
 		reply, failure := x.askPeer(ctx, e.Member.Address, message, accepted)
 		x.mu.Lock()
 		defer x.mu.Unlock()
@@ -41,7 +41,16 @@
 	}()
 }
 
-func (x *Executor) askPeer(ctx context.Context, address string, message SubQuery, accepted func()) (gatherer.SubReply, *tiller.Failure) {
+// accept feeds that another daemon has begun a sub-query. It says whether that is to be confirmed.
+func (x *Executor) accept(attempt uint64) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.confirming = false
+	x.step(gatherer.SubQueryAccepted{Attempt: attempt})
+	return x.confirming
+}
+
+func (x *Executor) askPeer(ctx context.Context, address string, message SubQuery, accepted func() bool) (gatherer.SubReply, *tiller.Failure) {
 	var reply gatherer.SubReply
 	body, err := cbor.Marshal(message)
 	if err != nil {
--- /dev/null
+++ b/forwarder/confirm_test.go
@@ -0,0 +1,48 @@
+package forwarder_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/forwarder"
+)
+
+// The other end must learn that its header was seen in time, and must not take the end of the
+// connection, or the next request, for that.
+func TestConfirmation(t *testing.T) {
+	for _, confirm := range []bool{true, false} {
+		confirmed := make(chan bool, 1)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			connection := http.NewResponseController(w)
+			require.NoError(t, connection.EnableFullDuplex())
+			body := make([]byte, r.ContentLength-1)
+			_, err := io.ReadFull(r.Body, body)
+			require.NoError(t, err)
+			require.Equal(t, "sub-query", string(body))
+			require.NoError(t, connection.Flush())
+			go func() {
+				_, err := io.ReadFull(r.Body, make([]byte, 1))
+				confirmed <- err == nil
+			}()
+			time.Sleep(20 * time.Millisecond)
+			_, _ = w.Write([]byte("reply"))
+		}))
+		c := forwarder.New(tiller.SystemClock(), func(http.Header) string { return "" })
+		resp, failure := c.Do(context.Background(), forwarder.Request{
+			Address: strings.TrimPrefix(server.URL, "http://"), Method: "POST", URI: "/", Host: "h",
+			Header: http.Header{}, Body: []byte("sub-query"), Accepted: func() bool { return confirm },
+		})
+		require.Nil(t, failure)
+		require.Equal(t, "reply", string(resp.Body))
+		require.Equal(t, confirm, <-confirmed)
+		server.Close()
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,10 +49,14 @@
 	ID string
 	// MaxIdle is the longest time for which a used connection may have been idle; 0 sets no bound.
 	MaxIdle tiller.Millis
-	// Accepted is called when the header of the answer has come; it may be nil.
-	Accepted func()
+	// Accepted is called when the header of the answer has come; it may be nil. When it returns true,
+	// one more byte of the body is sent, which tells the other end that its header was seen in time.
+	Accepted func() bool
 }
 
+// confirmation ends the body of a request with Accepted.
+var confirmation = []byte{1}
+
 // Response is a whole answer.
 type Response struct {
 	Status int
@@ -305,8 +309,12 @@
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	// A bytes.Buffer does not fail.
 	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	length := len(r.Body)
+	if r.Accepted != nil {
+		length += len(confirmation)
+	}
+	if length > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
+		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
@@ -315,6 +323,7 @@
 // read reads one whole answer.
 func (c *connection) read(r Request) (Response, bool, *tiller.Failure) {
 	request := &http.Request{Method: r.Method}
+	confirmed := r.Accepted == nil
 	for {
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -323,8 +332,11 @@
 		if resp.StatusCode < 200 {
 			continue
 		}
-		if r.Accepted != nil {
-			r.Accepted()
+		if r.Accepted != nil && r.Accepted() {
+			if _, err := c.Write(confirmation); err != nil {
+				return Response{}, false, tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, err)
+			}
+			confirmed = true
 		}
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 		_ = resp.Body.Close()
@@ -335,7 +347,7 @@
 			return Response{}, false, tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, err)
 		}
 		unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-		reusable := !resp.Close && !unframed && c.reader.Buffered() == 0
+		reusable := !resp.Close && !unframed && c.reader.Buffered() == 0 && confirmed
 		return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
 	}
 }
--- a/forwarder/quiet.go
+++ b/forwarder/quiet.go
@@ -9,20 +9,35 @@
 // It does not wait for a reader of the connection. Bytes that arrive while no request is
 // outstanding belong to no request.
 func IsQuiet(conn net.Conn) bool {
+	_, err := peek(conn)
+	return err == syscall.EAGAIN
+}
+
+// IsClosed says whether the other end has closed a connection and everything that it sent was read.
+func IsClosed(conn net.Conn) bool {
+	n, err := peek(conn)
+	return n <= 0 && err != syscall.EAGAIN
+}
+
+// peek looks at the next byte that was received on a connection, and leaves it there. Without one,
+// the error is EAGAIN while the connection is open. A connection that cannot be looked at is taken
+// to be open.
+func peek(conn net.Conn) (n int, err error) {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, syscall.EAGAIN
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	quiet := false
 	var b [1]byte
 	// Control, unlike Read, takes no lock that a waiting reader holds.
-	err = control.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
+	closed := control.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && quiet
+	if closed != nil {
+		return 0, closed
+	}
+	return n, err
 }
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -134,6 +134,10 @@
 
 // retry sends one more request for a shard, or sets a time for it. It says whether there is hope.
 func (s *State) retry(now tiller.Millis, sh *shard, reason tiller.Reason) bool {
+	if sh.query.unconfirmed && sh.ran+sh.outstanding > 0 {
+		sh.hedgeAt = now + confirmPauseMillis
+		return true
+	}
 	if !sh.mayAsk() || now >= sh.query.end-minUsefulMillis {
 		return false
 	}
--- a/gatherer/effect.go
+++ b/gatherer/effect.go
@@ -27,6 +27,9 @@
 	SubQuery
 }
 
+// Confirm tells the other daemon that its sub-query was found to be begun in time.
+type Confirm struct{ Attempt uint64 }
+
 // Warm opens connections to an upstream, so that first requests do not wait for them.
 type Warm struct {
 	Upstream    cataloger.Upstream
@@ -104,6 +107,7 @@
 
 func (Send) effect()          {}
 func (Ask) effect()           {}
+func (Confirm) effect()       {}
 func (Warm) effect()          {}
 func (Cancel) effect()        {}
 func (Pass) effect()          {}
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -52,6 +52,10 @@
 // SubQueryAccepted says that another daemon has begun a sub-query.
 type SubQueryAccepted struct{ Attempt uint64 }
 
+// SubQueryConfirmed says that the asking daemon has not replaced a sub-query, and will count all of
+// its attempts.
+type SubQueryConfirmed struct{ Query uint64 }
+
 // FleetSettled says that the daemons that start together know each other, so that connections
 // are opened ahead of requests.
 type FleetSettled struct{}
@@ -86,6 +90,7 @@
 func (AttemptEnded) event()         {}
 func (SubQueryEnded) event()        {}
 func (SubQueryAccepted) event()     {}
+func (SubQueryConfirmed) event()    {}
 func (FleetSettled) event()         {}
 func (ConfigurationChanged) event() {}
 func (UpstreamChanged) event()      {}
--- a/gatherer/hedge.go
+++ b/gatherer/hedge.go
@@ -12,6 +12,9 @@
 	hedgeFactor = 2.0
 	// hedgeSlackMillis is added to that, for late timers and short queues.
 	hedgeSlackMillis = 6.0
+	// confirmPauseMillis is the wait before a further request of a sub-query that is not confirmed is
+	// looked at again; the confirmation looks at it as well.
+	confirmPauseMillis = 25
 	// shedPauseMillis is the wait before an upstream that has turned a request away is asked again.
 	shedPauseMillis = 12
 	// acceptFactor and acceptMillis bound the time in which another daemon accepts a sub-query, as a
--- a/gatherer/load_test.go
+++ b/gatherer/load_test.go
@@ -146,6 +146,27 @@
 	require.LessOrEqual(t, float64(lost), 0.1*float64(len(w.outcomes)))
 }
 
+// Messages between daemons are late, so that a sub-query is replaced although the other daemon has
+// begun it, and learns of that late too. Both together must keep to the attempts of the route.
+func TestLateMessagesKeepTheAttempts(t *testing.T) {
+	w := newWorld(t, 13)
+	for _, s := range w.servers {
+		s.pauseEvery, s.pause, s.pausePhase = 3000, 250, tiller.Millis(w.random.IntN(3000))
+	}
+	for i := range shards {
+		third := w.servers[fmt.Sprintf("u-%d-0", i)].Upstream
+		third.ID = fmt.Sprintf("u-%d-2", i)
+		w.add(&server{Upstream: third, work: 11, queue: 12})
+	}
+	for _, d := range w.daemons {
+		d.lag = 200
+	}
+	w.load(21000, 90, "/q/1")
+	w.run(24000)
+	w.requireAttempts(2)
+	w.requireBudget()
+}
+
 // Upstreams fall silent. After a second, few queries may still wait for them.
 func TestSilentUpstreamsAreAvoided(t *testing.T) {
 	w := newWorld(t, 5)
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -15,6 +15,8 @@
 	version int64
 	// sub says that another daemon asked, for some of the shards.
 	sub bool
+	// unconfirmed says that the asking daemon may have replaced the sub-query.
+	unconfirmed bool
 	// extra says that the asking daemon has sent first requests for the shards.
 	extra   bool
 	arrived tiller.Millis
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -141,6 +141,8 @@
 		s.endSubQuery(now, e)
 	case SubQueryAccepted:
 		s.acceptSub(e)
+	case SubQueryConfirmed:
+		s.confirm(now, e.Query)
 	case PeerProbed:
 		s.endProbe(e)
 	case FleetSettled:
--- a/gatherer/subquery.go
+++ b/gatherer/subquery.go
@@ -57,16 +57,30 @@
 	}
 }
 
-// acceptSub notes that another daemon has begun a sub-query.
+// acceptSub notes that another daemon has begun a sub-query, and confirms it unless the sub-query was
+// replaced before.
 func (s *State) acceptSub(e SubQueryAccepted) {
 	if a, ok := s.attempts[e.Attempt]; ok {
 		a.accepted = true
+		s.emit(Confirm{Attempt: a.id})
 	}
 }
 
+// confirm lets a sub-query use all of its attempts. Before, the asking daemon may have replaced it,
+// counting one request for each shard: it may not have seen in time that the sub-query was begun, and
+// the end of its connection may be late or lost.
+func (s *State) confirm(now tiller.Millis, id uint64) {
+	q, ok := s.queries[id]
+	if !ok {
+		return
+	}
+	q.unconfirmed = false
+	s.evaluate(now, q)
+}
+
 // checkAccepted replaces a sub-query that was not accepted in time. A daemon that stands still has
-// not sent any request, and finds its connection closed when it goes on. One that is only late has
-// sent at most one for each shard. When this daemon was late itself, the other gets more time.
+// not sent any request, and finds its connection closed when it goes on. One that is only late sends
+// at most one for each shard, because it is not confirmed. When this daemon was late itself, the other gets more time.
 func (s *State) checkAccepted(now tiller.Millis, a *attempt) {
 	late := now - a.acceptBy
 	a.acceptBy = now + acceptMillis
--- a/gatherer/world_test.go
+++ b/gatherer/world_test.go
@@ -45,10 +45,12 @@
 	// reset ends the sub-queries that other daemons have sent here.
 	reset []func()
 	dead  bool
+	// lag is the longest time by which messages between this daemon and others are late.
+	lag tiller.Millis
 }
 
 // sent is an attempt on its way.
-type sent struct{ abandon func() }
+type sent struct{ abandon, confirm func() }
 
 // server is a fake upstream: it runs Slots requests at once, lets queue more wait, and rejects the rest.
 type server struct {
@@ -231,6 +233,8 @@
 		w.send(d, e)
 	case gatherer.Ask:
 		w.ask(d, e)
+	case gatherer.Confirm:
+		d.sent[e.Attempt].confirm()
 	case gatherer.Cancel:
 		if s := d.sent[e.Attempt]; s != nil {
 			w.after(e.After, s.abandon)
@@ -422,23 +426,28 @@
 	id := w.clientID(d, e.Query)
 	w.queries++
 	query := w.queries
+	way := func() tiller.Millis {
+		return way(d.region, peer.region) + tiller.Millis(w.random.Int64N(int64(max(d.lag, peer.lag)+1)))
+	}
 	d.sent[e.Attempt] = &sent{abandon: func() {
 		end(gatherer.SubQueryEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonCancelled, nil)})
-		w.after(way(d.region, peer.region), func() { w.step(peer, gatherer.QueryAbandoned{Query: query}) })
+		w.after(way(), func() { w.step(peer, gatherer.QueryAbandoned{Query: query}) })
+	}, confirm: func() {
+		w.after(way(), func() { w.step(peer, gatherer.SubQueryConfirmed{Query: query}) })
 	}}
 	w.after(e.Left, func() {
 		end(gatherer.SubQueryEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonTimeout, nil)})
 	})
-	w.after(way(d.region, peer.region), func() {
+	w.after(way(), func() {
 		peer.subs[query] = id
 		peer.reset = append(peer.reset, func() {
 			end(gatherer.SubQueryEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, nil)})
 		})
 		peer.asker[query] = func(r gatherer.SubReply) {
-			w.after(way(d.region, peer.region), func() { end(gatherer.SubQueryEnded{Reply: r}) })
+			w.after(way(), func() { end(gatherer.SubQueryEnded{Reply: r}) })
 		}
 		if !peer.dead {
-			w.after(way(d.region, peer.region), func() { w.step(d, gatherer.SubQueryAccepted{Attempt: e.Attempt}) })
+			w.after(way(), func() { w.step(d, gatherer.SubQueryAccepted{Attempt: e.Attempt}) })
 		}
 		w.step(peer, gatherer.SubQueryArrived{Query: query, ID: "sub of " + id, SubQuery: e.SubQuery})
 	})
--- a/receiver/connections.go
+++ b/receiver/connections.go
@@ -71,7 +71,7 @@
 // hasLeft says whether the other end of a request's connection has closed it.
 func hasLeft(ctx context.Context) bool {
 	conn, ok := ctx.Value(connKey{}).(net.Conn)
-	return ok && !forwarder.IsQuiet(conn)
+	return ok && forwarder.IsClosed(conn)
 }
 
 // isFirst says whether a request is the first on its connection.
