Take over connections for sub-queries, so that a confirmation may cross the reply

Cause: sent the confirmation as the last byte of the request's body. On loopback the byte always came first, so the tests did not show it.

The peer's connection is now taken over from the server after the first sub-query, and the confirmation follows the request. Ruled out: waiting for the byte before the reply ends, which delays replies from other regions by up to a round trip.

Test: TestConfirmationCrossesTheReply sends the byte after the reply.

--- a/forwarder/confirm_test.go
+++ b/forwarder/confirm_test.go
@@ -21,19 +21,18 @@
 	for _, confirm := range []bool{true, false} {
 		confirmed := make(chan bool, 1)
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			connection := http.NewResponseController(w)
-			require.NoError(t, connection.EnableFullDuplex())
-			body := make([]byte, r.ContentLength-1)
-			_, err := io.ReadFull(r.Body, body)
+			body, err := io.ReadAll(r.Body)
 			require.NoError(t, err)
 			require.Equal(t, "sub-query", string(body))
-			require.NoError(t, connection.Flush())
+			conn, buffered, err := http.NewResponseController(w).Hijack()
+			require.NoError(t, err)
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"))
 			go func() {
-				_, err := io.ReadFull(r.Body, make([]byte, 1))
+				_, err := buffered.ReadByte()
 				confirmed <- err == nil
 			}()
 			time.Sleep(20 * time.Millisecond)
-			_, _ = w.Write([]byte("reply"))
+			_, _ = conn.Write([]byte("reply"))
 		}))
 		c := forwarder.New(tiller.SystemClock(), func(http.Header) string { return "" })
 		resp, failure := c.Do(context.Background(), forwarder.Request{
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -50,11 +50,11 @@
 	// MaxIdle is the longest time for which a used connection may have been idle; 0 sets no bound.
 	MaxIdle tiller.Millis
 	// Accepted is called when the header of the answer has come; it may be nil. When it returns true,
-	// one more byte of the body is sent, which tells the other end that its header was seen in time.
+	// one byte is sent after the request, which tells the other end that its header was seen in time.
 	Accepted func() bool
 }
 
-// confirmation ends the body of a request with Accepted.
+// confirmation follows a request with Accepted.
 var confirmation = []byte{1}
 
 // Response is a whole answer.
@@ -309,12 +309,8 @@
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	// A bytes.Buffer does not fail.
 	_ = r.Header.Write(&b)
-	length := len(r.Body)
-	if r.Accepted != nil {
-		length += len(confirmation)
-	}
-	if length > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
-		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -133,7 +133,7 @@
 	}{
 		{g.settings.FrontAddress, front},
 		{g.settings.ReadyAddress, &http.Server{Handler: g.readiness()}},
-		{g.peerAddress(), &http.Server{Handler: g.peers(), ConnContext: receiver.Mark}},
+		{g.peerAddress(), &http.Server{Handler: g.peers()}},
 	}
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
--- a/receiver/connections.go
+++ b/receiver/connections.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 
 	tiller "github.com/carawaytiller/carawaytiller"
-	"github.com/carawaytiller/carawaytiller/forwarder"
 )
 
 // Connections keeps track of the connections of a server. Its methods may be called concurrently.
@@ -60,18 +59,10 @@
 
 type usedKey struct{}
 
-type connKey struct{}
-
 // Mark is the ConnContext function of a server: it lets the first request of a connection be told
 // from later ones.
-func Mark(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(context.WithValue(ctx, usedKey{}, new(atomic.Bool)), connKey{}, conn)
-}
-
-// hasLeft says whether the other end of a request's connection has closed it.
-func hasLeft(ctx context.Context) bool {
-	conn, ok := ctx.Value(connKey{}).(net.Conn)
-	return ok && forwarder.IsClosed(conn)
+func Mark(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, usedKey{}, new(atomic.Bool))
 }
 
 // isFirst says whether a request is the first on its connection.
--- a/receiver/peer.go
+++ b/receiver/peer.go
@@ -1,88 +1,120 @@
 package receiver
 
 import (
+	"bufio"
+	"bytes"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/executor"
+	"github.com/carawaytiller/carawaytiller/forwarder"
 	"github.com/carawaytiller/carawaytiller/gatherer"
 )
 
-const (
-	// maxSubQueryBytes bounds a sub-query: a client's body in it is bounded too.
-	maxSubQueryBytes = 4 << 20
-	// confirmationTimeout bounds the wait for a sub-query and its confirmation, longer than the asking
-	// daemon waits for the reply.
-	confirmationTimeout = 40 * time.Second
-)
+// maxSubQueryBytes bounds a sub-query: a client's body in it is bounded too.
+const maxSubQueryBytes = 4 << 20
+
+// subQueryHeader begins the answer to a sub-query. It is sent before the sub-query is gathered.
+const subQueryHeader = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
-// ServeSubQuery serves the sub-query of another daemon.
+// ServeSubQuery serves the sub-queries that another daemon sends over one connection, one after the
+// other. The header of the answer says that the sub-query was begun; the other daemon confirms by one
+// byte that it has seen the header before it sent the sub-query elsewhere. The connection is taken
+// over from the server, because that byte and the end of the answer may cross.
 func (h *Receiver) ServeSubQuery(w http.ResponseWriter, r *http.Request) {
-	connection := http.NewResponseController(w)
-	body, err := readSubQuery(connection, r)
+	message, err := readSubQuery(r)
+	if err != nil {
+		h.reject(w, http.StatusBadRequest, tiller.ReasonBadRequest)
+		return
+	}
+	conn, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
-		http.Error(w, "the sub-query cannot be read", http.StatusBadRequest)
+		h.reject(w, http.StatusInternalServerError, tiller.ReasonInternal)
 		return
 	}
+	defer func() { _ = conn.Close() }()
+	p := &peerConnection{receiver: h, conn: conn, reader: buffered.Reader}
+	for err == nil {
+		if err = p.serve(message); err == nil {
+			message, err = p.next()
+		}
+	}
+}
+
+// readSubQuery decodes the body of a request.
+func readSubQuery(r *http.Request) (executor.SubQuery, error) {
 	var m executor.SubQuery
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxSubQueryBytes))
+	if err != nil {
+		return m, errors.Wrap(err, "read the sub-query")
+	}
 	if err := cbor.Unmarshal(body, &m); err != nil {
-		http.Error(w, "the sub-query cannot be decoded", http.StatusBadRequest)
-		return
+		return m, errors.Wrap(err, "decode the sub-query")
 	}
 	if m.Request.Header == nil {
 		m.Request.Header = make(http.Header)
 	}
-	// The header tells the asking daemon that this one is at work. A daemon that stood still meanwhile
-	// finds that the other has gone, and must send nothing.
-	// Nil values leave out headers that daemons do not read.
-	w.Header()["Content-Type"], w.Header()["Date"] = nil, nil
-	if err := connection.Flush(); err != nil || hasLeft(r.Context()) {
-		return
-	}
-	t := h.executor.SubmitSub(m.Request, gatherer.SubQueryArrived{SubQuery: m.Terms})
-	go h.awaitConfirmation(r.Body, t)
-	select {
-	case o := <-t.Done:
-		writeSubReply(w, o)
-	case <-r.Context().Done():
-		h.executor.Abandon(t)
-	}
+	return m, nil
+}
+
+// peerConnection is a connection over which another daemon sends sub-queries.
+type peerConnection struct {
+	receiver *Receiver
+	conn     net.Conn
+	reader   *bufio.Reader
 }
 
-// readSubQuery reads the body without its last byte, which the asking daemon sends once it has seen
-// the header of the answer.
-func readSubQuery(connection *http.ResponseController, r *http.Request) ([]byte, error) {
-	if r.ContentLength < 1 || r.ContentLength > maxSubQueryBytes {
-		return nil, errors.Errorf("its length is %d", r.ContentLength)
+// serve gathers one sub-query. An error means that the connection is of no use any more.
+func (p *peerConnection) serve(m executor.SubQuery) error {
+	if _, err := p.conn.Write([]byte(subQueryHeader)); err != nil {
+		return err
+	}
+	// A daemon that stood still meanwhile finds that the other has gone, and must send nothing.
+	if forwarder.IsClosed(p.conn) {
+		return io.EOF
 	}
-	// The server would otherwise wait for the whole body before it writes.
-	if err := connection.EnableFullDuplex(); err != nil {
-		return nil, err
+	x := p.receiver.executor
+	t := x.SubmitSub(m.Request, gatherer.SubQueryArrived{SubQuery: m.Terms})
+	written := make(chan error, 1)
+	go func() { written <- p.reply(<-t.Done) }()
+	err := p.watch(x, t)
+	if err != nil {
+		x.Abandon(t)
 	}
-	if err := connection.SetReadDeadline(time.Now().Add(confirmationTimeout)); err != nil {
-		return nil, err
+	if failed := <-written; failed != nil {
+		return failed
 	}
-	body := make([]byte, r.ContentLength-1)
-	_, err := io.ReadFull(r.Body, body)
-	return body, err
+	return err
 }
 
-// awaitConfirmation waits for the last byte of the body. A connection that ends before it is that of
-// a daemon that has gone.
-func (h *Receiver) awaitConfirmation(body io.Reader, t *executor.Ticket) {
-	if _, err := io.ReadFull(body, make([]byte, 1)); err != nil {
-		h.executor.Abandon(t)
-		return
+// watch confirms the sub-query and returns when the next one begins, or with an error when the
+// connection has ended.
+func (p *peerConnection) watch(x *executor.Executor, t *executor.Ticket) error {
+	if _, err := p.reader.ReadByte(); err != nil {
+		return err
+	}
+	x.Confirm(t)
+	_, err := p.reader.Peek(1)
+	return err
+}
+
+// next reads the next sub-query.
+func (p *peerConnection) next() (executor.SubQuery, error) {
+	r, err := http.ReadRequest(p.reader)
+	if err != nil {
+		return executor.SubQuery{}, err
 	}
-	h.executor.Confirm(t)
+	return readSubQuery(r)
 }
 
-// writeSubReply writes the reply; a query that was refused has none of its shards.
-func writeSubReply(w http.ResponseWriter, o executor.Outcome) {
+// reply writes the end of the answer. A query that was refused has none of its shards.
+func (p *peerConnection) reply(o executor.Outcome) error {
 	reply := gatherer.SubReply{NoCapacity: true}
 	if o.Sub != nil {
 		reply = *o.Sub
@@ -90,8 +122,11 @@
 	body, err := cbor.Marshal(reply)
 	if err != nil {
 		// The other daemon takes the connection's end for a failure.
-		panic(http.ErrAbortHandler)
+		_ = p.conn.Close()
+		return errors.Wrap(err, "encode the reply")
 	}
-	// The asking daemon has gone when this fails; its context ends too.
-	_, _ = w.Write(body)
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	_, err = p.conn.Write(b.Bytes())
+	return err
 }
