Count a failure of a shard's upstream as the way to another region

A failure counted 400 ms, so half of all shards were sent across regions before anything had failed: 3,300 sub-queries a second instead of 200, requests to upstreams doubled, and queries ran out of time or attempts on the way. A lost answer of a shard costs about one more request to another region; 400 ms stays for requests to one upstream, which may not be repeatable.

Ruled out: overload (93 in 100 answers came within 30 ms) and the retry budget.

--- a/balancer/stat.go
+++ b/balancer/stat.go
@@ -21,8 +21,6 @@
 	inflightMillis = 15.0
 	// shedMillis is the cost of an upstream that sheds every request.
 	shedMillis = 80.0
-	// failureMillis is the cost of an upstream that fails every request.
-	failureMillis = 400.0
 	// outcomeHalfLife is the half-life in milliseconds of the shares shed and failed.
 	outcomeHalfLife = 1500.0
 	// pauseMillis is longer than upstreams pause for a moment.
@@ -151,8 +149,9 @@
 }
 
 // Cost ranks an upstream: the latency that the next request has to expect there, in milliseconds,
-// with what speaks against the upstream added.
-func (s *Stat) Cost(now tiller.Millis, prior float64, slots int) float64 {
+// with what speaks against the upstream added. failure is the cost of an upstream that fails every
+// request, in milliseconds.
+func (s *Stat) Cost(now tiller.Millis, prior float64, slots int, failure float64) float64 {
 	mean := s.Mean(now, prior)
 	cost := mean
 	if age := s.oldest(now); age > overdueFactor*mean {
@@ -161,7 +160,7 @@
 	cost += inflightMillis * float64(len(s.outstanding))
 	cost += s.waiting * decay(now-s.updated, forgetMillis/10) * mean / float64(max(slots, 1))
 	keep := decay(now-s.judged, outcomeHalfLife)
-	return cost + keep*(s.shed*shedMillis+s.failed*failureMillis)
+	return cost + keep*(s.shed*shedMillis+s.failed*failure)
 }
 
 // Stalled says whether the oldest outstanding request has taken far longer than expected.
--- a/balancer/stat_test.go
+++ b/balancer/stat_test.go
@@ -9,7 +9,10 @@
 	"github.com/carawaytiller/carawaytiller/balancer"
 )
 
-const prior = 15
+const (
+	prior   = 15
+	failure = 400
+)
 
 // cost answers n requests that took a time each, and returns the cost after that.
 func answered(n int, took tiller.Millis) (*balancer.Stat, tiller.Millis) {
@@ -25,7 +28,7 @@
 
 func TestCost(t *testing.T) {
 	fast, now := answered(10, 10)
-	base := fast.Cost(now, prior, 2)
+	base := fast.Cost(now, prior, 2, failure)
 	for _, tt := range []struct {
 		name  string
 		after func(s *balancer.Stat, now tiller.Millis) tiller.Millis
@@ -57,7 +60,7 @@
 	} {
 		s, now := answered(10, 10)
 		now = tt.after(s, now)
-		require.GreaterOrEqual(t, s.Cost(now, prior, 2), base+tt.above, tt.name)
+		require.GreaterOrEqual(t, s.Cost(now, prior, 2, failure), base+tt.above, tt.name)
 	}
 }
 
--- a/gatherer/choose.go
+++ b/gatherer/choose.go
@@ -16,6 +16,12 @@
 	farPenaltyMillis = 15.0
 	// noisePart spreads requests over candidates whose costs are about equal.
 	noisePart = 0.15
+	// failureMillis is the cost of an upstream that fails every request, about the longest wait for
+	// another one.
+	failureMillis = 400.0
+	// shardFailureMillis is the same for a shard, whose request is sent again at once: about the way to
+	// another region and back.
+	shardFailureMillis = 60.0
 	// minConnections is the number of requests that a daemon may have outstanding at an upstream
 	// even when the fleet is large.
 	minConnections = 2
@@ -48,7 +54,11 @@
 
 // cost ranks an upstream for a query.
 func (s *State) cost(now tiller.Millis, u *upstream, q *query) float64 {
-	cost := u.stat.Cost(now, s.expected(now, u, q), u.Slots)
+	failure := failureMillis
+	if !q.single() {
+		failure = shardFailureMillis
+	}
+	cost := u.stat.Cost(now, s.expected(now, u, q), u.Slots, failure)
 	cost += s.pauses.Remaining(now, &u.stalls)
 	cost *= 1 + noisePart*s.random.Float64()
 	if u.Region != s.settings.Region {
--- a/gatherer/gatherers.go
+++ b/gatherer/gatherers.go
@@ -107,7 +107,7 @@
 
 // peerCost ranks another daemon for a sub-query.
 func (s *State) peerCost(now tiller.Millis, p *peer) float64 {
-	return p.stat.Cost(now, s.peerPrior(p), 1) * (1 + noisePart*s.random.Float64())
+	return p.stat.Cost(now, s.peerPrior(p), 1, failureMillis) * (1 + noisePart*s.random.Float64())
 }
 
 func (s *State) peerPrior(p *peer) float64 {
