Let an unconfirmed sub-query pass on one attempt only, and log where a shard was sent

Cause: TestLateMessagesKeepTheAttempts failed in 3 of 12 runs: a daemon that has not been confirmed sends one request itself, but handed a shard to a daemon of another region with all attempts of the route. It now hands on one.

A shard that is missing now names in the log the upstream or VM that it was sent to last, and how long ago.

--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -182,11 +182,9 @@
 	if len(q.trouble) >= maxTrouble {
 		return
 	}
-	t := Trouble{Reason: reason, After: now - a.sent, Expected: a.expected}
+	t := Trouble{Upstream: a.target(), Reason: reason, After: now - a.sent, Expected: a.expected}
 	if a.upstream != nil {
-		t.Service, t.Upstream = a.upstream.Service, a.upstream.ID
-	} else {
-		t.Upstream = a.peer.VM
+		t.Service = a.upstream.Service
 	}
 	q.trouble = append(q.trouble, t)
 }
--- a/gatherer/load_test.go
+++ b/gatherer/load_test.go
@@ -78,7 +78,7 @@
 // queries meeting a pause, without second requests fewer than half would be whole in time.
 func TestPausesAreHedged(t *testing.T) {
 	w := newWorld(t, 1)
-	for _, s := range w.servers {
+	for _, s := range w.sorted() {
 		s.pauseEvery, s.pause, s.pausePhase = 6000, 250, tiller.Millis(w.random.IntN(6000))
 	}
 	w.load(21000, 90, "/q/1")
@@ -93,7 +93,7 @@
 // bring must not be sent again as a first request, outside the budget of the fleet.
 func TestSheddingKeepsTheBudget(t *testing.T) {
 	w := newWorld(t, 2)
-	for _, s := range w.servers {
+	for _, s := range w.sorted() {
 		if w.random.Float64() < 0.8 {
 			s.shed = 0.6
 		}
@@ -108,7 +108,7 @@
 // the request was sent by another daemon for it.
 func TestResetsKeepTheAttempts(t *testing.T) {
 	w := newWorld(t, 3)
-	for _, s := range w.servers {
+	for _, s := range w.sorted() {
 		s.reset = 0.3
 	}
 	w.load(11000, 90, "/q/1")
@@ -126,7 +126,7 @@
 		third.ID = fmt.Sprintf("u-%d-2", i)
 		w.add(&server{Upstream: third, work: 11, queue: 12})
 	}
-	for _, s := range w.servers {
+	for _, s := range w.sorted() {
 		s.pauseEvery, s.pause, s.pausePhase = 3000, 250, tiller.Millis(w.random.IntN(3000))
 	}
 	w.load(11000, 90, "/q/1")
@@ -150,7 +150,7 @@
 // begun it, and learns of that late too. Both together must keep to the attempts of the route.
 func TestLateMessagesKeepTheAttempts(t *testing.T) {
 	w := newWorld(t, 13)
-	for _, s := range w.servers {
+	for _, s := range w.sorted() {
 		s.pauseEvery, s.pause, s.pausePhase = 3000, 250, tiller.Millis(w.random.IntN(3000))
 	}
 	for i := range shards {
@@ -259,7 +259,7 @@
 	w.run(6000)
 	w.arrivals = make(map[string][]arrival)
 	w.tell(gatherer.BoundsChanged{Bounds: cataloger.Bounds{RetryRatio: 0.02, RetrySlack: 9, ColdOverage: coldOverage, ColdSlack: coldSlack}})
-	for _, s := range w.servers {
+	for _, s := range w.sorted() {
 		s.shed = 0.6
 	}
 	w.load(12000, 90, "/q/1")
@@ -339,7 +339,7 @@
 	}
 	w.load(5000, 70, "/q/1")
 	w.run(5000)
-	for _, s := range w.servers {
+	for _, s := range w.sorted() {
 		s.silent = false
 	}
 	w.load(8000, 70, "/q/1")
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -43,12 +43,12 @@
 	}
 	for _, p := range order {
 		extra := false
-		limit := q.route.Attempts
+		limit := q.allowed()
 		for _, sh := range groups[p] {
 			if sh.arrivals > 0 {
 				extra = s.pay(sh)
 			}
-			limit = min(limit, q.route.Attempts-sh.ran)
+			limit = min(limit, q.allowed()-sh.ran)
 		}
 		s.ask(now, q, p, groups[p], limit, extra)
 	}
@@ -171,6 +171,7 @@
 	if now < u.cold.until {
 		u.cold.tokens--
 	}
+	sh.last = a
 	sh.hedgeAt = s.hedgeTime(now, sh, u, expected)
 	s.emit(Send{Query: q.id, Attempt: a.id, Upstream: u.Upstream, Left: q.end - now, Once: !q.route.Repeatable})
 }
@@ -193,7 +194,7 @@
 	accept := now + tiller.Millis(acceptFactor*p.way) + acceptMillis
 	a.acceptBy = accept
 	for _, sh := range shards {
-		sh.hedgeAt, sh.asked = accept, a
+		sh.hedgeAt, sh.asked, sh.last = accept, a, a
 		sub.Shards = append(sub.Shards, sh.service)
 		for _, u := range sh.tried {
 			sub.Avoid = append(sub.Avoid, u.ID)
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -60,6 +60,8 @@
 	hedgeAt tiller.Millis
 	// asked is the sub-query that the shard is part of; nil when there is none.
 	asked *attempt
+	// last is the latest request or sub-query for the shard; nil when none was sent.
+	last *attempt
 	// waiting says that the shard waits for room at an upstream.
 	waiting bool
 	// counted says that the shard's first request has added to the budget, here or elsewhere.
@@ -157,15 +159,41 @@
 	if !sh.query.route.Repeatable && sh.ran+sh.outstanding > 0 {
 		return false
 	}
-	limit := sh.query.route.Attempts
-	return sh.ran+sh.outstanding < limit && sh.tries < triesPerAttempt*limit
+	q := sh.query
+	return sh.ran+sh.outstanding < q.allowed() && sh.tries < triesPerAttempt*q.route.Attempts
+}
+
+// allowed returns the number of upstreams that a shard may be sent to for now: one until the asking
+// daemon has confirmed a sub-query.
+func (q *query) allowed() int {
+	if q.unconfirmed {
+		return 1
+	}
+	return q.route.Attempts
+}
+
+// trouble says why a shard is missing, and where it was sent last.
+func (sh *shard) trouble(now tiller.Millis) Trouble {
+	t := Trouble{Service: sh.service, Reason: sh.reason}
+	if sh.last != nil {
+		t.Upstream, t.After, t.Expected = sh.last.target(), now-sh.last.sent, sh.last.expected
+	}
+	return t
+}
+
+// target names the upstream, or the VM of the daemon, that an attempt was sent to.
+func (a *attempt) target() string {
+	if a.upstream != nil {
+		return a.upstream.ID
+	}
+	return a.peer.VM
 }
 
 func (q *query) decision(now tiller.Millis) Decision {
 	trouble := q.trouble
 	for _, sh := range q.shards {
 		if sh.status != shardDone && sh.reason != "" {
-			trouble = append(trouble, Trouble{Service: sh.service, Reason: sh.reason})
+			trouble = append(trouble, sh.trouble(now))
 		}
 	}
 	return Decision{
--- a/gatherer/route_test.go
+++ b/gatherer/route_test.go
@@ -21,7 +21,7 @@
 func TestNonRepeatableRequestRunsOnce(t *testing.T) {
 	w := newWorld(t, 1)
 	w.configure(2, plainRoute(false, cataloger.Weighted{Service: shardName(0), Weight: 1}))
-	for _, s := range w.servers {
+	for _, s := range w.sorted() {
 		s.reset, s.shed = 0.3, 0.3
 		s.pauseEvery, s.pause = 2000, 1200
 	}
@@ -61,12 +61,12 @@
 	r.Regions = []string{"east", "north"}
 	r.MinCoverage = 0.5
 	w.configure(2, r)
-	for _, s := range w.servers {
+	for _, s := range w.sorted() {
 		s.pauseEvery, s.pause = 2000, 400
 	}
 	w.load(9000, 50, "/q/1")
 	w.run(11000)
-	for id, s := range w.servers {
+	for id, s := range w.sorted() {
 		if s.Region == "west" {
 			require.Empty(t, s.requests, id)
 		}
--- a/gatherer/world_test.go
+++ b/gatherer/world_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	tiller "github.com/carawaytiller/carawaytiller"
@@ -182,6 +184,16 @@
 	w.tell(gatherer.UpstreamChanged{Upstream: s.Upstream})
 }
 
+// sorted returns the upstreams in the order of their identifiers, so that a seed gives the same world
+// in every run.
+func (w *world) sorted() []*server {
+	servers := make([]*server, 0, len(w.servers))
+	for _, id := range slices.Sorted(maps.Keys(w.servers)) {
+		servers = append(servers, w.servers[id])
+	}
+	return servers
+}
+
 // tell feeds an event to every daemon.
 func (w *world) tell(e gatherer.Event) {
 	for _, d := range w.daemons {
