Follow the store at the pace that the operators' bounds require

Watches now wait a third of the time within which changes must be in force, the pause between them grows while each brings changes, and a store that fails is called after 0.5, 1 and 2 s. A daemon waits for another one's knowledge only until it is stale; that wait came on top before and used up a bound of 3 s. Ruled out: fewer announcements while the store turns daemons away (about one call a daemon less).

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -25,14 +25,8 @@
 )
 
 const (
-	// watchMillis is the time that one watch waits. Each watch is a priced call; a watch that was
-	// cut without notice is found when it ends, which must be within the time to notice a change.
-	watchMillis = 1000 * tiller.Millis(1)
 	// probeMillis is the wait of the first watch after the store was lost.
 	probeMillis = 1
-	// gatherMillis is the pause between two watches, in which changes gather that come in a row.
-	// It is far below the times in which changes must be in force.
-	gatherMillis = 150
 	// retryMillis and maxRetryMillis bound the pause after a failed call.
 	retryMillis    = 100
 	maxRetryMillis = 400
@@ -60,11 +54,15 @@
 	missing map[string]tiller.Millis
 	// penalty holds daemons that failed as a source, with the time until which they are left out.
 	penalty map[string]tiller.Millis
-	failing bool
+	pace    Pace
+	// failures is the number of calls of the store that failed in a row.
+	failures int
 	// tryStoreAt is the time at which a store that failed is asked again.
 	tryStoreAt tiller.Millis
 	// direct says that the store was the last source.
 	direct bool
+	// busy is the number of watches in a row that brought changes.
+	busy int
 	// trustAt is the time from which a missing entry means that its upstream is gone.
 	trustAt atomic.Int64
 	mu      sync.Mutex
@@ -84,11 +82,11 @@
 // New returns a Follower for the daemon self. regions maps failure domains to regions. client
 // reaches other daemons.
 func New(clock tiller.Clock, store *platform.Store, client *forwarder.Client, log logr.Logger,
-	regions map[string]string, self cataloger.Member, seams Seams,
+	regions map[string]string, self cataloger.Member, pace Pace, seams Seams,
 ) *Follower {
 	return &Follower{
 		clock: clock, store: store, client: client, log: log, regions: regions, self: self,
-		emit: seams.Emit, lost: seams.Lost,
+		emit: seams.Emit, lost: seams.Lost, pace: pace,
 		table:   NewTable(),
 		members: make(map[string]cataloger.Member),
 		missing: make(map[string]tiller.Millis),
@@ -108,7 +106,7 @@
 		if err == nil {
 			pause = retryMillis
 			if f.direct {
-				sleep(ctx, gatherMillis)
+				sleep(ctx, f.pace.Gather(f.busy))
 			}
 			continue
 		}
@@ -124,9 +122,14 @@
 	if f.table.Revision() == 0 {
 		return f.readAll(ctx, true)
 	}
-	if m, ok := f.relay(); ok {
+	m, source := f.source()
+	switch source {
+	case fromPeer:
 		f.direct = false
 		return f.followRelay(ctx, m)
+	case fromNone:
+		sleep(ctx, min(max(f.tryStoreAt-f.clock.Now(), 1), retryMillis))
+		return nil
 	}
 	items, revision, err := f.store.Watch(ctx, "", f.table.Revision(), f.watchTime())
 	if errors.Is(err, platform.ErrCompacted) {
@@ -137,17 +140,21 @@
 		return err
 	}
 	f.regain()
+	f.busy++
+	if len(items) == 0 {
+		f.busy = 0
+	}
 	f.applyAll(items, revision, false)
 	return nil
 }
 
 // watchTime is shorter while upstreams are missing, so that they are given up in time.
 func (f *Follower) watchTime() tiller.Millis {
-	if f.failing {
+	if f.failing() {
 		// An immediate answer shows sooner than a waiting watch that the store is back.
 		return probeMillis
 	}
-	wait := watchMillis
+	wait := f.pace.Watch()
 	now := f.clock.Now()
 	for _, at := range f.missing {
 		wait = min(wait, max(at-now, 1))
@@ -287,12 +294,16 @@
 	f.emit(gatherer.MembersChanged{Members: members})
 }
 
+// failing says that the last call of the store failed.
+func (f *Follower) failing() bool { return f.failures > 0 }
+
 // lose notes that the store cannot be reached.
 func (f *Follower) lose(err error) {
-	if !f.failing {
+	if !f.failing() {
 		f.log.Info("Store lost", "Cause", strings.TrimSpace(err.Error()), "Revision", f.table.Revision())
 	}
-	f.failing = true
+	f.tryStoreAt = f.clock.Now() + f.pace.TryStore(f.failures)
+	f.failures++
 	f.store.CloseConnections()
 }
 
@@ -301,10 +312,10 @@
 func (f *Follower) regain() {
 	now := f.clock.Now()
 	f.heard.Store(int64(now))
-	if !f.failing {
+	if !f.failing() {
 		return
 	}
-	f.failing = false
+	f.failures = 0
 	f.trustAt.Store(int64(now + returnMillis))
 	f.log.Info("Store regained", "Revision", f.table.Revision())
 }
--- /dev/null
+++ b/follower/pace.go
@@ -0,0 +1,46 @@
+package follower
+
+import tiller "github.com/carawaytiller/carawaytiller"
+
+// Pace holds the times of a Follower that follow from the time within which a change must be noticed.
+// Each call of the store is priced, so none is made sooner than that time requires.
+type Pace struct{ within tiller.Millis }
+
+const (
+	// minWithin and maxWithin bound the time that is worked with: watches shorter than a third of a
+	// second are mostly the way, and a connection that went silent is found when its watch ends.
+	minWithin = 1500 * tiller.Millis(1)
+	maxWithin = 6000 * tiller.Millis(1)
+	// defaultWithin is the time where the operators name none.
+	defaultWithin = 3000 * tiller.Millis(1)
+	// gatherMillis is the shortest pause between two watches, in which changes gather that come in a row.
+	gatherMillis = 150
+	// tryStoreMillis is the time between the first two calls of a store that fails.
+	tryStoreMillis = 500
+)
+
+// NewPace returns the Pace at which changes are noticed within a time; 0 stands for the default.
+func NewPace(within tiller.Millis) Pace {
+	if within <= 0 {
+		within = defaultWithin
+	}
+	return Pace{within: min(max(within, minWithin), maxWithin)}
+}
+
+// Watch returns the time that one watch of the store waits for changes.
+func (p Pace) Watch() tiller.Millis { return p.within / 3 }
+
+// Stale returns the age of another daemon's knowledge from which it is not followed. It is above the
+// time of a watch of a slow store and a pause, and leaves time to ask the store instead.
+func (p Pace) Stale() tiller.Millis { return p.within * 3 / 5 }
+
+// Gather returns the pause after a watch that was the nth in a row to bring changes. It grows, because
+// each change of a series would otherwise end a watch.
+func (p Pace) Gather(n int) tiller.Millis {
+	return min(gatherMillis<<min(n, 4), p.within/10)
+}
+
+// TryStore returns the pause before a store that has failed n times in a row is called again.
+func (p Pace) TryStore(n int) tiller.Millis {
+	return min(tryStoreMillis<<min(n, 4), p.within/3)
+}
--- /dev/null
+++ b/follower/pace_test.go
@@ -0,0 +1,31 @@
+package follower_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/follower"
+)
+
+func ExamplePace() {
+	p := follower.NewPace(6000)
+	fmt.Println(p.Watch(), p.Stale(), p.Gather(0), p.Gather(9), p.TryStore(9))
+	// Output: 2000 3600 150 600 2000
+}
+
+// A daemon that follows one whose watch went silent must still notice a change in time, and a daemon
+// whose watches end as usual must not be taken for that one.
+func TestPace(t *testing.T) {
+	// slowCall is a call of a slow store, with the way.
+	const slowCall = 350
+	for _, within := range []tiller.Millis{3000, 4000, 5000, 6000} {
+		p := follower.NewPace(within)
+		require.Less(t, p.Stale()+2*slowCall, within)
+		require.Less(t, p.Watch()+p.Gather(9)+slowCall, p.Stale())
+		require.LessOrEqual(t, p.TryStore(9), within/3)
+		require.Less(t, p.Gather(0), p.Gather(1))
+	}
+}
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -35,11 +35,6 @@
 	relayWaitMillis = 1000 * tiller.Millis(1)
 	// relayMarginMillis is the time that its reply may take beyond that.
 	relayMarginMillis = 500
-	// relayAgeMillis is the age of another daemon's knowledge from which the store is asked directly.
-	// Together with the waits it stays below the time in which a configuration must be in force.
-	relayAgeMillis = 2000
-	// tryStoreMillis is the time between two calls of a store that turns this daemon away.
-	tryStoreMillis = 1000
 	// relayPenaltyMillis is the time for which a daemon that failed is not followed.
 	relayPenaltyMillis = 5 * tiller.Second
 )
@@ -53,8 +48,8 @@
 		return
 	}
 	update, changed := f.table.Since(after)
-	if len(update.Items) == 0 && f.age() < relayAgeMillis {
-		timer := time.NewTimer(relayWaitMillis.Duration())
+	if wait := min(relayWaitMillis, f.pace.Stale()-f.age()); len(update.Items) == 0 && wait > 0 {
+		timer := time.NewTimer(wait.Duration())
 		defer timer.Stop()
 		select {
 		case <-changed:
@@ -109,25 +104,37 @@
 // age returns the time since the store was last heard of, here or by the daemon that is followed.
 func (f *Follower) age() tiller.Millis { return f.clock.Now() - tiller.Millis(f.heard.Load()) }
 
-// relay returns the daemon to follow; false when this daemon is to ask the store itself. In each
-// region the daemon that ranks first asks the store. A daemon that the store turns away follows any
-// other that can be reached, and tries the store now and then.
-func (f *Follower) relay() (cataloger.Member, bool) {
+// source says where changes come from next.
+type source uint8
+
+const (
+	fromStore source = iota
+	fromPeer
+	// fromNone means that the store failed a moment ago and no other daemon knows more.
+	fromNone
+)
+
+// source returns where to ask next, and which daemon for fromPeer. In each region the daemon that ranks
+// first asks the store. A daemon that the store turns away follows any other that can be reached, and
+// tries the store now and then.
+func (f *Follower) source() (cataloger.Member, source) {
 	now := f.clock.Now()
-	if f.failing && now >= f.tryStoreAt {
-		f.tryStoreAt = now + tryStoreMillis
-		return cataloger.Member{}, false
+	if f.failing() && now >= f.tryStoreAt {
+		return cataloger.Member{}, fromStore
 	}
 	for _, m := range f.ranked() {
 		switch {
-		case m.VM == f.self.VM && !f.failing:
-			return m, false
-		case m.VM == f.self.VM || m.Region != f.self.Region && !f.failing:
+		case m.VM == f.self.VM && !f.failing():
+			return m, fromStore
+		case m.VM == f.self.VM || m.Region != f.self.Region && !f.failing():
 		case now >= f.penalty[m.VM]:
-			return m, true
+			return m, fromPeer
 		}
 	}
-	return cataloger.Member{}, false
+	if f.failing() {
+		return cataloger.Member{}, fromNone
+	}
+	return cataloger.Member{}, fromStore
 }
 
 // ranked returns the daemons of the fleet in the order in which they are followed: those of the own
@@ -159,7 +166,7 @@
 	ctx, cancel := context.WithTimeout(ctx, (relayWaitMillis + relayMarginMillis).Duration())
 	defer cancel()
 	update, err := f.askRelay(ctx, m)
-	if err == nil && update.Age >= relayAgeMillis {
+	if err == nil && update.Age >= f.pace.Stale() {
 		err = errors.Errorf("it heard of the store %d ms ago", update.Age)
 	}
 	if err == nil && update.Revision < f.table.Revision() {
