Hold a confirmation until the daemon that sends it is confirmed itself

Cause: let an unconfirmed daemon hand shards on with one attempt only. Shards are handed on with all attempts again, and the daemon that takes them stays at one request each until the whole chain is confirmed.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -70,17 +70,17 @@
 	lastQuery uint64
 	tickets   map[uint64]*Ticket
 	cancels   map[uint64]context.CancelFunc
+	// confirms holds, by attempt, how to confirm a sub-query that another daemon has begun.
+	confirms map[uint64]func()
 	// passing is the answer of the attempt whose end is being decided.
 	passing *forwarder.Response
-	// confirming says that the step in progress confirms a sub-query.
-	confirming bool
 }
 
 // New returns an executor of state. New takes ownership of state.
 func New(clock tiller.Clock, client *forwarder.Client, codec Codec, observer Observer, state *gatherer.State) *Executor {
 	x := &Executor{
 		clock: clock, client: client, codec: codec, observer: observer, state: state,
-		tickets: make(map[uint64]*Ticket), cancels: make(map[uint64]context.CancelFunc),
+		tickets: make(map[uint64]*Ticket), cancels: make(map[uint64]context.CancelFunc), confirms: make(map[uint64]func()),
 	}
 	x.timer = time.AfterFunc(time.Hour, func() { x.Step(gatherer.TimerFired{}) })
 	return x
@@ -159,7 +159,7 @@
 	case gatherer.Probe:
 		time.AfterFunc(e.After.Duration(), func() { x.probe(e.Member) })
 	case gatherer.Confirm:
-		x.confirming = true
+		x.confirm(e.Attempt)
 	case gatherer.Cancel:
 		x.cancel(e)
 	case gatherer.Pass:
--- a/executor/peer.go
+++ b/executor/peer.go
@@ -32,25 +32,34 @@
 	message := SubQuery{Request: t.request, Terms: e.SubQuery}
 	ctx := x.begin(e.Attempt, e.Left+peerGrace)
 	go func() {
-		accepted := func() bool { return x.accept(e.Attempt) }
+		accepted := func(confirm func()) { x.accept(e.Attempt, confirm) }
 		reply, failure := x.askPeer(ctx, e.Member.Address, message, accepted)
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		x.release(e.Attempt)
+		delete(x.confirms, e.Attempt)
 		x.step(gatherer.SubQueryEnded{Attempt: e.Attempt, Failure: failure, Reply: reply})
 	}()
 }
 
-// accept feeds that another daemon has begun a sub-query. It says whether that is to be confirmed.
-func (x *Executor) accept(attempt uint64) bool {
+// accept feeds that another daemon has begun a sub-query. confirm tells that daemon that it was seen.
+func (x *Executor) accept(attempt uint64, confirm func()) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.confirming = false
+	x.confirms[attempt] = confirm
 	x.step(gatherer.SubQueryAccepted{Attempt: attempt})
-	return x.confirming
 }
 
-func (x *Executor) askPeer(ctx context.Context, address string, message SubQuery, accepted func() bool) (gatherer.SubReply, *tiller.Failure) {
+// confirm carries out a Confirm. The byte always fits into the buffer of the connection, which holds
+// nothing else then.
+func (x *Executor) confirm(attempt uint64) {
+	if confirm, ok := x.confirms[attempt]; ok {
+		delete(x.confirms, attempt)
+		confirm()
+	}
+}
+
+func (x *Executor) askPeer(ctx context.Context, address string, message SubQuery, accepted func(confirm func())) (gatherer.SubReply, *tiller.Failure) {
 	var reply gatherer.SubReply
 	body, err := cbor.Marshal(message)
 	if err != nil {
--- a/forwarder/confirm_test.go
+++ b/forwarder/confirm_test.go
@@ -37,7 +37,11 @@
 		c := forwarder.New(tiller.SystemClock(), func(http.Header) string { return "" })
 		resp, failure := c.Do(context.Background(), forwarder.Request{
 			Address: strings.TrimPrefix(server.URL, "http://"), Method: "POST", URI: "/", Host: "h",
-			Header: http.Header{}, Body: []byte("sub-query"), Accepted: func() bool { return confirm },
+			Header: http.Header{}, Body: []byte("sub-query"), Accepted: func(send func()) {
+				if confirm {
+					send()
+				}
+			},
 		})
 		require.Nil(t, failure)
 		require.Equal(t, "reply", string(resp.Body))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -49,9 +50,10 @@
 	ID string
 	// MaxIdle is the longest time for which a used connection may have been idle; 0 sets no bound.
 	MaxIdle tiller.Millis
-	// Accepted is called when the header of the answer has come; it may be nil. When it returns true,
-	// one byte is sent after the request, which tells the other end that its header was seen in time.
-	Accepted func() bool
+	// Accepted is called when the header of the answer has come; it may be nil. Its argument sends one
+	// byte after the request, which tells the other end that its header was seen in time; it may be
+	// called once, also later. Without that byte the connection is not used again.
+	Accepted func(confirm func())
 }
 
 // confirmation follows a request with Accepted.
@@ -319,7 +321,8 @@
 // read reads one whole answer.
 func (c *connection) read(r Request) (Response, bool, *tiller.Failure) {
 	request := &http.Request{Method: r.Method}
-	confirmed := r.Accepted == nil
+	var confirmed atomic.Bool
+	confirmed.Store(r.Accepted == nil)
 	for {
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -328,11 +331,11 @@
 		if resp.StatusCode < 200 {
 			continue
 		}
-		if r.Accepted != nil && r.Accepted() {
-			if _, err := c.Write(confirmation); err != nil {
-				return Response{}, false, tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, err)
-			}
-			confirmed = true
+		if r.Accepted != nil {
+			r.Accepted(func() {
+				_, err := c.Write(confirmation)
+				confirmed.Store(err == nil)
+			})
 		}
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 		_ = resp.Body.Close()
@@ -343,7 +346,7 @@
 			return Response{}, false, tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, err)
 		}
 		unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-		reusable := !resp.Close && !unframed && c.reader.Buffered() == 0 && confirmed
+		reusable := !resp.Close && !unframed && c.reader.Buffered() == 0 && confirmed.Load()
 		return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
 	}
 }
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -43,12 +43,12 @@
 	}
 	for _, p := range order {
 		extra := false
-		limit := q.allowed()
+		limit := q.route.Attempts
 		for _, sh := range groups[p] {
 			if sh.arrivals > 0 {
 				extra = s.pay(sh)
 			}
-			limit = min(limit, q.allowed()-sh.ran)
+			limit = min(limit, q.route.Attempts-sh.ran)
 		}
 		s.ask(now, q, p, groups[p], limit, extra)
 	}
--- a/gatherer/subquery.go
+++ b/gatherer/subquery.go
@@ -58,10 +58,15 @@
 }
 
 // acceptSub notes that another daemon has begun a sub-query, and confirms it unless the sub-query was
-// replaced before.
+// replaced before. A daemon that is not confirmed itself confirms those that it hands shards to only
+// later, because all of them together may send one request for each shard until then.
 func (s *State) acceptSub(e SubQueryAccepted) {
-	if a, ok := s.attempts[e.Attempt]; ok {
-		a.accepted = true
+	a, ok := s.attempts[e.Attempt]
+	if !ok {
+		return
+	}
+	a.accepted = true
+	if !a.query.unconfirmed {
 		s.emit(Confirm{Attempt: a.id})
 	}
 }
@@ -75,6 +80,11 @@
 		return
 	}
 	q.unconfirmed = false
+	for _, attempt := range q.attempts {
+		if a, ok := s.attempts[attempt]; ok && a.accepted {
+			s.emit(Confirm{Attempt: attempt})
+		}
+	}
 	s.evaluate(now, q)
 }
 
--- a/gatherer/world_test.go
+++ b/gatherer/world_test.go
@@ -246,7 +246,9 @@
 	case gatherer.Ask:
 		w.ask(d, e)
 	case gatherer.Confirm:
-		d.sent[e.Attempt].confirm()
+		if s := d.sent[e.Attempt]; s != nil {
+			s.confirm()
+		}
 	case gatherer.Cancel:
 		if s := d.sent[e.Attempt]; s != nil {
 			w.after(e.After, s.abandon)
