Soak with three upstreams a shard and check the attempts; drop what has no use

The soak checks what the virtual fleet found: no query may run on more upstreams of a shard than its route allows, which two upstreams a shard could not show. balancer.Stat loses Known, which had no caller, and a copy of the mean that room was computed from.

--- a/balancer/stat.go
+++ b/balancer/stat.go
@@ -38,13 +38,11 @@
 type Stat struct {
 	mean      float64
 	deviation float64
-	// service is the moving average without the waits at the upstream.
-	service float64
-	updated tiller.Millis
-	shed    float64
-	failed  float64
-	judged  tiller.Millis
-	waiting float64
+	updated   tiller.Millis
+	shed      float64
+	failed    float64
+	judged    tiller.Millis
+	waiting   float64
 	// outstanding holds the send times of unanswered requests by attempt.
 	outstanding map[uint64]tiller.Millis
 }
@@ -65,7 +63,6 @@
 	s.sample(now, float64(now-sent))
 	s.judge(now, 0, 0)
 	s.waiting = float64(waiting)
-	s.service = s.mean
 }
 
 // Shed records that the upstream turned a request away.
@@ -118,9 +115,6 @@
 // Inflight returns the number of outstanding requests.
 func (s *Stat) Inflight() int { return len(s.outstanding) }
 
-// Known says whether the latency was measured at all.
-func (s *Stat) Known() bool { return s.updated != 0 }
-
 // Mean returns the expected latency. What was measured long ago counts less than prior,
 // which is the latency of comparable upstreams.
 func (s *Stat) Mean(now tiller.Millis, prior float64) float64 {
@@ -131,15 +125,6 @@
 	return s.mean*keep + prior*(1-keep)
 }
 
-// Service returns the time that the upstream takes for a request without what it waits there.
-func (s *Stat) Service(now tiller.Millis, prior float64) float64 {
-	if s.updated == 0 {
-		return prior
-	}
-	keep := decay(now-s.updated, forgetMillis)
-	return s.service*keep + prior*(1-keep)
-}
-
 // High returns a latency that few answers exceed.
 func (s *Stat) High(now tiller.Millis, prior float64) float64 {
 	if s.updated == 0 {
--- a/gatherer/choose.go
+++ b/gatherer/choose.go
@@ -105,7 +105,7 @@
 		c := candidate{upstream: u, cost: s.cost(now, u, sh.query)}
 		if !s.hasRoom(now, u, sh.query) {
 			c.full = true
-			c.cost += u.stat.Service(now, s.expected(now, u, sh.query))
+			c.cost += u.stat.Mean(now, s.expected(now, u, sh.query))
 		}
 		if u.Region == s.settings.Region {
 			if c.cost < near.cost {
--- a/gatherer/room.go
+++ b/gatherer/room.go
@@ -30,9 +30,9 @@
 
 // room returns the number of requests of shards that this daemon may have outstanding at an upstream.
 func (s *State) room(now tiller.Millis, u *upstream, q *query) int {
-	service := u.stat.Service(now, s.expected(now, u, q))
+	mean := u.stat.Mean(now, s.expected(now, u, q))
 	share := float64(max(u.Slots, 1)) / float64(s.gatherersOf(u))
-	return max(int(roomMillis*share/max(service, 1)), 1)
+	return max(int(roomMillis*share/max(mean, 1)), 1)
 }
 
 // gatherersOf returns the number of daemons that ask an upstream for shards regularly.
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -31,6 +31,7 @@
 	shardCount = 8
 	topK       = 9
 	records    = 12
+	attempts   = 2
 )
 
 var domains = []string{"east-a", "north-a", "west-a"}
@@ -43,6 +44,7 @@
 	binary    string
 	store     *faker.Store
 	upstreams []*faker.Upstream
+	byService map[string][]*faker.Upstream
 	links     []*proxy
 	processes []*process
 	version   int
@@ -54,6 +56,8 @@
 	violations            []string
 	// outcomes holds the status of each request that must not run twice; 0 when it got no answer.
 	outcomes map[string]int
+	// gathered holds the queries over all shards.
+	gathered []string
 }
 
 // process is one daemon.
@@ -70,12 +74,12 @@
 func newRun(t *testing.T, binary string, seed uint64) *run {
 	r := &run{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 11)), binary: binary, store: faker.NewStore(),
-		outcomes: make(map[string]int),
+		outcomes: make(map[string]int), byService: make(map[string][]*faker.Upstream),
 	}
 	store := httptest.NewServer(r.store)
 	t.Cleanup(store.Close)
 	for i := range shardCount {
-		for j := range 2 {
+		for j := range 3 {
 			r.addUpstream(fmt.Sprintf("i-%d-%d", i, j), fmt.Sprintf("s-%d", i), domains[(i+j)%len(domains)])
 		}
 	}
@@ -106,6 +110,7 @@
 	r.t.Cleanup(server.Close)
 	link := newProxy(r.t, server.Listener.Addr().String(), r.t.Cleanup)
 	r.upstreams = append(r.upstreams, u)
+	r.byService[service] = append(r.byService[service], u)
 	r.links = append(r.links, link)
 	r.store.Put("servers/"+id, fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":4,"State":"ready","ColdMs":0,"Sequence":1}`, service, link.address, domain))
 }
@@ -118,10 +123,10 @@
 		shards = append(shards, fmt.Sprintf("%q", fmt.Sprintf("s-%d", i)))
 	}
 	r.store.Put("op/config", fmt.Sprintf(`{"Version":%d,"Routes":[
-{"Name":"all","Host":"h","Prefix":"/all/","RouteType":"idempotent","TimeoutMs":1500,"TargetLatencyMs":300,"Gather":[%s],"Attempts":2,"TopK":%d,"MinCoverage":0.7},
+{"Name":"all","Host":"h","Prefix":"/all/","RouteType":"idempotent","TimeoutMs":1500,"TargetLatencyMs":300,"Gather":[%s],"Attempts":%d,"TopK":%d,"MinCoverage":0.7},
 {"Name":"once","Host":"h","Prefix":"/once/","RouteType":"non_idempotent","TimeoutMs":1500,"TargetLatencyMs":300,"Service":"once","Attempts":2},
 {"Name":"new","Host":"h","Prefix":"/v%d/","RouteType":"idempotent","TimeoutMs":1500,"TargetLatencyMs":300,"Service":"once","Attempts":2}],
-"Services":[],"Limits":{"MaxBodyBytes":100000}}`, r.version, strings.Join(shards, ","), topK, r.version))
+"Services":[],"Limits":{"MaxBodyBytes":100000}}`, r.version, strings.Join(shards, ","), attempts, topK, r.version))
 }
 
 func freeAddress(t *testing.T) string {
@@ -213,6 +218,9 @@
 // gather sends a query over all shards and checks the answer against a merge of the parts it names.
 func (r *run) gather(client *http.Client, p *process, id string) {
 	uri := "/all/" + id
+	r.mu.Lock()
+	r.gathered = append(r.gathered, id)
+	r.mu.Unlock()
 	status, header, body, err := send(client, p, "GET", uri, id, nil)
 	switch {
 	case err != nil:
@@ -288,6 +296,21 @@
 }
 
 // requireNewestVersion checks that every daemon serves the route that only the newest version has.
+// requireAttempts checks that no query ran on more upstreams of a shard than its route allows.
+func (r *run) requireAttempts() {
+	for _, id := range r.gathered {
+		for service, upstreams := range r.byService {
+			ran := 0
+			for _, u := range upstreams {
+				if u.Ran(id) > 0 {
+					ran++
+				}
+			}
+			require.LessOrEqual(r.t, ran, attempts, "seed %d: %s on upstreams of %s", r.seed, id, service)
+		}
+	}
+}
+
 func (r *run) requireNewestVersion() {
 	client := &http.Client{Timeout: 3 * time.Second}
 	for i, p := range r.processes {
