--- a/gatherer/evaluate.go
+++ b/gatherer/evaluate.go
@@ -35,6 +35,7 @@
 	case q.done+q.open() < q.needed:
 		s.refuse(now, q, s.refusalReason(q), retryAfterMillis)
 	case now >= q.end:
+		q.expire()
 		s.refuse(now, q, tiller.ReasonTimeout, 0)
 	default:
 		s.setTimer(now, q)
@@ -76,11 +77,7 @@
 
 // reply answers a query with the parts that have come.
 func (s *State) reply(now tiller.Millis, q *query) {
-	for _, sh := range q.shards {
-		if sh.status == shardOpen && sh.reason == "" {
-			sh.reason = tiller.ReasonTimeout
-		}
-	}
+	q.expire()
 	if q.sub {
 		s.replySub(now, q)
 		return
@@ -96,6 +93,15 @@
 	s.finish(now, q, lingerMillis)
 }
 
+// expire gives the reason for the shards that are still open when the time is over.
+func (q *query) expire() {
+	for _, sh := range q.shards {
+		if sh.status == shardOpen && sh.reason == "" {
+			sh.reason = tiller.ReasonTimeout
+		}
+	}
+}
+
 func (s *State) replySub(now tiller.Millis, q *query) {
 	parts, records := q.assemble()
 	r := SubReply{Parts: parts, Records: records, Took: now - q.arrived}
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -1,6 +1,8 @@
 package gatherer
 
 import (
+	"slices"
+
 	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/cataloger"
 )
@@ -192,8 +194,12 @@
 func (q *query) decision(now tiller.Millis) Decision {
 	trouble := q.trouble
 	for _, sh := range q.shards {
-		if sh.status != shardDone && sh.reason != "" {
-			trouble = append(trouble, sh.trouble(now))
+		if sh.status == shardDone || sh.reason == "" {
+			continue
+		}
+		// The end of its last attempt may have been noted just now.
+		if t := sh.trouble(now); !slices.Contains(trouble, t) {
+			trouble = append(trouble, t)
 		}
 	}
 	return Decision{
--- a/gatherer/route_test.go
+++ b/gatherer/route_test.go
@@ -264,3 +264,25 @@
 	require.True(t, answered)
 	require.Empty(t, asked)
 }
+
+// The log of a request that ran out of time must name the upstream that was still at work, and since when.
+func TestTimeoutNamesTheUpstream(t *testing.T) {
+	w := newWorld(t, 14)
+	w.configure(2, cataloger.Route{
+		Name: "one", Host: "h", Prefix: "/1/", Timeout: 500, Attempts: 2, Services: []cataloger.Weighted{{Service: shardName(0), Weight: 1}},
+	})
+	d := w.daemons[0].state
+	d.Step(w.now, gatherer.QueryArrived{Query: 1, ID: "a", Host: "h", Path: "/1/x", Deadline: 1000})
+	var refused *gatherer.Refuse
+	for _, e := range d.Step(w.now+480, gatherer.TimerFired{}) {
+		if r, ok := e.(gatherer.Refuse); ok {
+			refused = &r
+		}
+	}
+	require.NotNil(t, refused)
+	require.Equal(t, tiller.ReasonTimeout, refused.Reason)
+	require.Len(t, refused.Trouble, 1)
+	require.Equal(t, shardName(0), refused.Trouble[0].Service)
+	require.NotEmpty(t, refused.Trouble[0].Upstream)
+	require.EqualValues(t, 480, refused.Trouble[0].After)
+}
