Keep a coverage beyond all shards from ending the process, and name the share of misses

Cause, found on reading the change: a route that asks for more than all of its shards made a table of negative length once any shard had been missing. Test: TestCoverageBeyondAllShards panicked before. Else only names change: missRate says what the type holds.

--- a/gatherer/forecast.go
+++ b/gatherer/forecast.go
@@ -7,7 +7,7 @@
 )
 
 // The decisions below answer the load at which more shards fail than a route may leave out, while
-// routes that need fewer shards can still be served: queries of the first route are mostly in vain,
+// routes that need missing shards can still be served: queries of the first route are mostly in vain,
 // and must not take the places of the others. They are not refused, because that would go on for a
 // while after the shards are back; they only come last.
 
@@ -22,24 +22,24 @@
 	leastMiss = 0.02
 )
 
-// missing is the share of the latest queries in which a shard was missing.
-type missing struct {
-	share float64
-	at    tiller.Millis
+// missRate is the share of the latest queries in which a shard was missing.
+type missRate struct {
+	share   float64
+	updated tiller.Millis
 }
 
 // with returns m after one more query.
-func (m missing) with(now tiller.Millis, missed bool) missing {
-	share := m.now(now) * (1 - missSmoothing)
+func (m missRate) with(now tiller.Millis, missed bool) missRate {
+	share := m.at(now) * (1 - missSmoothing)
 	if missed {
 		share += missSmoothing
 	}
-	return missing{share: share, at: now}
+	return missRate{share: share, updated: now}
 }
 
-// now returns the share; what was seen long ago counts less.
-func (m missing) now(now tiller.Millis) float64 {
-	return m.share * math.Exp2(-float64(now-m.at)/missHalfLife)
+// at returns the share at a time; what was seen long before counts less.
+func (m missRate) at(now tiller.Millis) float64 {
+	return m.share * math.Exp2(-float64(now-m.updated)/missHalfLife)
 }
 
 // learnMissing notes which shards of a query came in time, when its answer is due or it ends before.
@@ -53,32 +53,32 @@
 		if sh.status == shardOpen && !q.isLate(now) {
 			continue
 		}
-		known, ok := s.missing[sh.service]
+		known, ok := s.missRates[sh.service]
 		if missed := sh.status != shardDone; ok || missed {
-			s.missing[sh.service] = known.with(now, missed)
+			s.missRates[sh.service] = known.with(now, missed)
 		}
 	}
 }
 
 // chance returns the probability that enough shards of a query come in time.
 func (s *State) chance(now tiller.Millis, q *query) float64 {
-	// fewer[n] is the probability that n shards are missing.
-	fewer := make([]float64, len(q.shards)-q.needed+1)
-	fewer[0] = 1
+	// missing[n] is the probability that n shards are missing, for each n that the coverage allows.
+	missing := make([]float64, max(len(q.shards)-q.needed, 0)+1)
+	missing[0] = 1
 	for _, sh := range q.shards {
-		miss := s.missing[sh.service].now(now)
+		miss := s.missRates[sh.service].at(now)
 		if miss < leastMiss {
 			continue
 		}
-		for n := len(fewer) - 1; n >= 0; n-- {
-			fewer[n] *= 1 - miss
+		for n := len(missing) - 1; n >= 0; n-- {
+			missing[n] *= 1 - miss
 			if n > 0 {
-				fewer[n] += fewer[n-1] * miss
+				missing[n] += missing[n-1] * miss
 			}
 		}
 	}
 	sum := 0.0
-	for _, p := range fewer {
+	for _, p := range missing {
 		sum += p
 	}
 	return sum
@@ -86,5 +86,5 @@
 
 // isUnlikely says whether a query probably fails, because its shards have been missing too often.
 func (s *State) isUnlikely(now tiller.Millis, q *query) bool {
-	return !q.single() && len(s.missing) > 0 && s.chance(now, q) < likelyChance
+	return !q.single() && len(s.missRates) > 0 && s.chance(now, q) < likelyChance
 }
--- a/gatherer/route_test.go
+++ b/gatherer/route_test.go
@@ -286,3 +286,17 @@
 	require.NotEmpty(t, refused.Trouble[0].Upstream)
 	require.EqualValues(t, 480, refused.Trouble[0].After)
 }
+
+// A route that asks for more than all of its shards must be refused, and must not end the process.
+func TestCoverageBeyondAllShards(t *testing.T) {
+	w := newWorld(t, 15)
+	beyond := w.gatherRoute()
+	beyond.Name, beyond.Prefix, beyond.MinCoverage = "beyond", "/b/", 1.5
+	w.configure(2, w.gatherRoute(), beyond)
+	w.servers["u-0-0"].silent, w.servers["u-0-1"].silent = true, true
+	w.query(w.daemons[0], "/q/1")
+	w.run(w.now + 500)
+	id := w.query(w.daemons[0], "/b/1")
+	require.NotNil(t, w.outcomes[id].refused)
+	require.Equal(t, tiller.ReasonCoverageTooLow, w.outcomes[id].refused.Reason)
+}
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -69,8 +69,8 @@
 	budgets       map[string]hedger.Budget
 	splits        map[string]*split
 	deadlines     map[string]*commonDeadline
-	// missing holds, by service, how often a shard was missing lately.
-	missing map[string]missing
+	// missRates holds, by service, how often a shard was missing lately.
+	missRates map[string]missRate
 	// waiting holds, by service, the shards that wait for room at an upstream.
 	waiting map[string][]*shard
 	priors  map[priorKey]*hedger.Latency
@@ -117,7 +117,7 @@
 		budgets:   make(map[string]hedger.Budget),
 		splits:    make(map[string]*split),
 		deadlines: make(map[string]*commonDeadline),
-		missing:   make(map[string]missing),
+		missRates: make(map[string]missRate),
 		waiting:   make(map[string][]*shard),
 		priors:    make(map[priorKey]*hedger.Latency),
 		pauses:    balancer.NewPauses(),
@@ -185,9 +185,9 @@
 		return
 	}
 	s.configuration = c
-	for service := range s.missing {
+	for service := range s.missRates {
 		if c.ShardsWith(service) == 0 {
-			delete(s.missing, service)
+			delete(s.missRates, service)
 		}
 	}
 }
