Choose the ports of fake VMs below those of outgoing connections

Ruled out: slow starts (the others take 0.1 s) and the load of the machine.

The soak prints the log of a daemon that does not start.

--- a/gatekeeper/fleet_test.go
+++ b/gatekeeper/fleet_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -103,10 +102,9 @@
 }
 
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := faker.FreeAddress()
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func (f *fleet) start(domain, vm string) *running { return f.startAt(f.address, domain, vm) }
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -99,11 +98,19 @@
 		}
 	})
 	for _, p := range r.processes {
-		require.Eventually(t, p.isReady, 5*time.Second, 10*time.Millisecond)
+		require.Eventually(t, p.isReady, 5*time.Second, 10*time.Millisecond, "seed %d: not ready: %s", r.seed, logOf{p})
 	}
 	return r
 }
 
+// logOf prints the log of a process.
+type logOf struct{ p *process }
+
+func (l logOf) String() string {
+	log, err := os.ReadFile(l.p.settings + ".log")
+	return fmt.Sprint(string(log), err)
+}
+
 func (r *run) addUpstream(id, service, domain string) {
 	u := faker.NewUpstream(id, service, records)
 	server := httptest.NewServer(u)
@@ -130,10 +137,9 @@
 }
 
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := faker.FreeAddress()
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func (r *run) newProcess(i int, store string) *process {
