--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -93,6 +93,7 @@
 	close(stop)
 	r.wg.Wait()
 	r.requireRuns()
+	r.requireCutUnrun()
 	r.requireAttempts()
 	require.Empty(r.t, r.violations, "seed %d", r.seed)
 	r.t.Logf("seed %d: %d served, %d refused, %d unanswered, faults %v", r.seed, r.served.Load(), r.refused.Load(), r.lost.Load(), r.faults)
