Cancel the forwarded query of a test only once the peer has it

The test cancelled 50 ms after the start, which came before the query was sent. Four runs with a cancellation at once give the same message, "NotRun: Cancelled: context canceled", and that verdict is true. The test now waits until the peer has the query, and expects what it expected. Five runs with the race detector pass.

--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -44,13 +44,13 @@
 	tests := map[string]struct {
 		to      int
 		change  func(*Forward)
-		cancel  time.Duration
+		cancel  bool
 		verdict tiller.Verdict
 		reason  tiller.Reason
 		runs    bool
 	}{
 		"Deadline":   {to: 1, change: func(f *Forward) { f.Query.Route = "wait" }, verdict: tiller.MayHaveRun, reason: tiller.ReasonTimeout, runs: true},
-		"Cancelled":  {to: 1, change: func(f *Forward) { f.Query.Route = "wait" }, cancel: 50 * time.Millisecond, verdict: tiller.MayHaveRun, reason: tiller.ReasonCancelled, runs: true},
+		"Cancelled":  {to: 1, change: func(f *Forward) { f.Query.Route = "wait" }, cancel: true, verdict: tiller.MayHaveRun, reason: tiller.ReasonCancelled, runs: true},
 		"Mismatch":   {to: 1, change: func(f *Forward) { f.Query.Route = "mismatch" }, verdict: tiller.MayHaveRun, reason: tiller.ReasonMismatch, runs: true},
 		"LargeReply": {to: 1, change: func(f *Forward) { f.Query.Route = "large" }, verdict: tiller.MayHaveRun, reason: tiller.ReasonConnectionLost, runs: true},
 		"Large":      {to: 1, change: func(f *Forward) { f.Query.Body = make([]byte, MaxMessageBytes) }, verdict: tiller.NotRun, reason: tiller.ReasonBadRequest},
@@ -66,8 +66,14 @@
 			if c.change != nil {
 				c.change(&q)
 			}
-			if c.cancel > 0 {
-				time.AfterFunc(c.cancel, cancel)
+			if c.cancel {
+				// Before the peer has the query, its end would truly be NotRun.
+				go func() {
+					for len(got) == 0 && ctx.Err() == nil {
+						time.Sleep(time.Millisecond)
+					}
+					cancel()
+				}()
 			}
 			_, failure := a.Forward(ctx, c.to, q)
 			require.NotNil(t, failure)
