Count the end of a query before its client hears of it, and name settings that wait for a restart

Ruled out: a lost count; the count came, but later. The order is now observe, then execute.

Reload compared new settings with those of the last reload, so a change that waits for a restart was forgotten when another change followed. It compares with the settings at the start. TestReload has the case and failed before.

--- a/cmd/tillergate/main_test.go
+++ b/cmd/tillergate/main_test.go
@@ -75,7 +75,11 @@
 	require.Eventually(t, func() bool { return strings.Contains(stdout.String(), "Daemon started") }, 5*time.Second, 5*time.Millisecond)
 	hup("{", "the old ones stay in force")
 	hup(strings.Replace(valid, `"GraceS":4`, `"GraceS":3`, 1), `"StopWithin":3000,"RestartNeeded":false`)
-	hup(strings.Replace(valid, "vm-1", "vm-2", 1), `"RestartNeeded":true`)
+	renamed := strings.Replace(valid, "vm-1", "vm-2", 1)
+	hup(renamed, `"RestartNeeded":true`)
+	// What waits for a restart still waits when something else changes after it.
+	hup(strings.Replace(renamed, `"GraceS":4`, `"GraceS":2`, 1), `"StopWithin":2000,"RestartNeeded":true`)
+	hup(strings.Replace(valid, `"GraceS":4`, `"GraceS":1`, 1), `"StopWithin":1000,"RestartNeeded":false`)
 	cancel()
 	require.Equal(t, exitDone, <-code)
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -50,7 +50,7 @@
 	Incoming func(forwarder.Response) gatherer.Answer
 }
 
-// Observer is told what was decided. Its functions must not block.
+// Observer is told what was decided, before it takes effect. Its functions must not block.
 type Observer struct {
 	Effect func(gatherer.Effect)
 	Answer func(took tiller.Millis, opened bool)
@@ -135,8 +135,8 @@
 func (x *Executor) step(e gatherer.Event) {
 	now := x.clock.Now()
 	for _, effect := range x.state.Step(now, e) {
-		x.execute(effect)
 		x.observer.Effect(effect)
+		x.execute(effect)
 	}
 	at, ok := x.state.Next()
 	if ok && at != x.timerAt {
