Let one daemon of a region step in for the one whose watch went silent

The age from which a daemon is not followed now grows with the own rank (150 ms a rank, two ranks at most), so the next one reads the store first and the others follow it. Only the first three daemons of a region are asked while the store serves the asking one, and one that is merely old is asked again after 1 s.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -122,11 +122,11 @@
 	if f.table.Revision() == 0 {
 		return f.readAll(ctx, true)
 	}
-	m, source := f.source()
-	switch source {
+	from := f.source()
+	switch from.origin {
 	case fromPeer:
 		f.direct = false
-		return f.followRelay(ctx, m)
+		return f.followRelay(ctx, from)
 	case fromNone:
 		sleep(ctx, min(max(f.tryStoreAt-f.clock.Now(), 1), retryMillis))
 		return nil
--- a/follower/pace.go
+++ b/follower/pace.go
@@ -15,6 +15,10 @@
 	defaultWithin = 3000 * tiller.Millis(1)
 	// gatherMillis is the shortest pause between two watches, in which changes gather that come in a row.
 	gatherMillis = 150
+	// staggerMillis is the time that a daemon which takes over a region needs to read the store.
+	staggerMillis = 150
+	// maxStagger bounds the ranks that wait longer than the one before. The others would notice a change too late.
+	maxStagger = 2
 	// tryStoreMillis is the time between the first two calls of a store that fails.
 	tryStoreMillis = 500
 )
@@ -30,9 +34,13 @@
 // Watch returns the time that one watch of the store waits for changes.
 func (p Pace) Watch() tiller.Millis { return p.within / 3 }
 
-// Stale returns the age of another daemon's knowledge from which it is not followed. It is above the
-// time of a watch of a slow store and a pause, and leaves time to ask the store instead.
-func (p Pace) Stale() tiller.Millis { return p.within * 3 / 5 }
+// Stale returns the age of another daemon's knowledge from which the daemon of a rank in its region does
+// not follow it. It is above the time of a watch of a slow store and a pause, and leaves time to ask the
+// store instead. It grows with the rank: when a watch goes silent, the daemon that ranks next watches the
+// store before the others lose their patience, and they follow it.
+func (p Pace) Stale(rank int) tiller.Millis {
+	return p.within*3/5 + staggerMillis*tiller.Millis(min(max(rank-1, 0), maxStagger))
+}
 
 // Gather returns the pause after a watch that was the nth in a row to bring changes. It grows, because
 // each change of a series would otherwise end a watch.
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -6,6 +6,8 @@
 	"context"
 	"io"
 	"net/http"
+	"net/url"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -37,6 +39,12 @@
 	relayMarginMillis = 500
 	// relayPenaltyMillis is the time for which a daemon that failed is not followed.
 	relayPenaltyMillis = 5 * tiller.Second
+	// stalePenaltyMillis is that for a daemon that has heard of the store too long ago. It asks the store
+	// again within about a second.
+	stalePenaltyMillis = 1 * tiller.Second
+	// relayCandidates is the number of daemons of a region that are followed while the store serves this
+	// daemon: the first one, and those that step in for it.
+	relayCandidates = 3
 )
 
 // ServeChanges hands changes to a daemon that follows this one. It waits for changes when there
@@ -47,8 +55,13 @@
 		http.Error(w, "after is not a revision", http.StatusBadRequest)
 		return
 	}
+	stale, err := strconv.ParseInt(r.URL.Query().Get("stale"), 10, 64)
+	if err != nil {
+		http.Error(w, "stale is not a number of milliseconds", http.StatusBadRequest)
+		return
+	}
 	update, changed := f.table.Since(after)
-	if wait := min(relayWaitMillis, f.pace.Stale()-f.age()); len(update.Items) == 0 && wait > 0 {
+	if wait := min(relayWaitMillis, tiller.Millis(stale)-f.age()); len(update.Items) == 0 && wait > 0 {
 		timer := time.NewTimer(wait.Duration())
 		defer timer.Stop()
 		select {
@@ -104,37 +117,49 @@
 // age returns the time since the store was last heard of, here or by the daemon that is followed.
 func (f *Follower) age() tiller.Millis { return f.clock.Now() - tiller.Millis(f.heard.Load()) }
 
-// source says where changes come from next.
-type source uint8
+// origin says where changes come from next.
+type origin uint8
 
 const (
-	fromStore source = iota
+	fromStore origin = iota
 	fromPeer
 	// fromNone means that the store failed a moment ago and no other daemon knows more.
 	fromNone
 )
 
-// source returns where to ask next, and which daemon for fromPeer. In each region the daemon that ranks
-// first asks the store. A daemon that the store turns away follows any other that can be reached, and
-// tries the store now and then.
-func (f *Follower) source() (cataloger.Member, source) {
+// source is where changes are asked for next.
+type source struct {
+	origin origin
+	// member is the daemon to ask, for fromPeer.
+	member cataloger.Member
+	// stale is the age from which its knowledge is not taken over.
+	stale tiller.Millis
+}
+
+// source returns where to ask next. In each region the daemon that ranks first asks the store. A daemon
+// that the store turns away follows any other that can be reached, and tries the store now and then.
+func (f *Follower) source() source {
 	now := f.clock.Now()
 	if f.failing() && now >= f.tryStoreAt {
-		return cataloger.Member{}, fromStore
-	}
-	for _, m := range f.ranked() {
-		switch {
-		case m.VM == f.self.VM && !f.failing():
-			return m, fromStore
-		case m.VM == f.self.VM || m.Region != f.self.Region && !f.failing():
-		case now >= f.penalty[m.VM]:
-			return m, fromPeer
+		return source{origin: fromStore}
+	}
+	ranked := f.ranked()
+	own := slices.IndexFunc(ranked, func(m cataloger.Member) bool { return m.VM == f.self.VM })
+	if own < 0 {
+		own = len(ranked)
+	}
+	for rank, m := range ranked {
+		if !f.failing() && (rank >= min(own, relayCandidates) || m.Region != f.self.Region) {
+			return source{origin: fromStore}
+		}
+		if rank != own && now >= f.penalty[m.VM] {
+			return source{origin: fromPeer, member: m, stale: f.pace.Stale(own)}
 		}
 	}
 	if f.failing() {
-		return cataloger.Member{}, fromNone
+		return source{origin: fromNone}
 	}
-	return cataloger.Member{}, fromStore
+	return source{origin: fromStore}
 }
 
 // ranked returns the daemons of the fleet in the order in which they are followed: those of the own
@@ -162,30 +187,39 @@
 func relayRank(m cataloger.Member) uint64 { return xxhash.Sum64String("relay\x00" + m.VM) }
 
 // followRelay waits for changes at another daemon.
-func (f *Follower) followRelay(ctx context.Context, m cataloger.Member) error {
+func (f *Follower) followRelay(ctx context.Context, from source) error {
 	ctx, cancel := context.WithTimeout(ctx, (relayWaitMillis + relayMarginMillis).Duration())
 	defer cancel()
-	update, err := f.askRelay(ctx, m)
-	if err == nil && update.Age >= f.pace.Stale() {
+	m := from.member
+	update, err := f.askRelay(ctx, from)
+	penalty := relayPenaltyMillis
+	if err == nil && !f.failing() {
+		penalty = stalePenaltyMillis
+	}
+	if err == nil && update.Age >= from.stale {
 		err = errors.Errorf("it heard of the store %d ms ago", update.Age)
 	}
 	if err == nil && update.Revision < f.table.Revision() {
 		err = errors.Errorf("it is at revision %d, behind %d", update.Revision, f.table.Revision())
 	}
 	if err != nil {
-		f.penalty[m.VM] = f.clock.Now() + relayPenaltyMillis
-		f.log.Info("Daemon is not followed", "VM", m.VM, "Cause", err.Error())
+		f.penalty[m.VM] = f.clock.Now() + penalty
+		f.log.Info("Daemon is not followed", "VM", m.VM, "Cause", err.Error(), "For", penalty)
 		return nil
 	}
 	f.take(update)
 	return nil
 }
 
-func (f *Follower) askRelay(ctx context.Context, m cataloger.Member) (Update, error) {
+func (f *Follower) askRelay(ctx context.Context, from source) (Update, error) {
 	var update Update
+	q := url.Values{
+		"after": {strconv.FormatInt(f.table.Revision(), 10)},
+		"stale": {strconv.FormatInt(int64(from.stale), 10)},
+	}
 	resp, failure := f.client.Do(ctx, forwarder.Request{
-		Address: m.Address, Key: ChangesPath, Method: http.MethodGet, Host: m.Address, Header: http.Header{},
-		URI: ChangesPath + "?after=" + strconv.FormatInt(f.table.Revision(), 10),
+		Address: from.member.Address, Key: ChangesPath, Method: http.MethodGet, Host: from.member.Address, Header: http.Header{},
+		URI: ChangesPath + "?" + q.Encode(),
 	})
 	if failure != nil {
 		return update, failure
--- a/gatekeeper/fleet_test.go
+++ b/gatekeeper/fleet_test.go
@@ -20,7 +20,7 @@
 	"github.com/carawaytiller/carawaytiller/platform/faker"
 )
 
-var domains = map[string]string{"east-a": "east", "north-a": "north", "west-a": "west"}
+var domains = map[string]string{"east-a": "east", "north-a": "north", "west-a": "west", "south-a": "south"}
 
 const shardCount = 6
 
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -204,6 +204,103 @@
 	}
 }
 
+// A watch that goes silent leaves a whole region without news. One daemon must step in for the one that
+// watches: when all turn to the store at once, calls grow with the fleet, and the daemons bring a new
+// configuration into force at different times.
+func TestSilentWatchIsReplacedOnce(t *testing.T) {
+	f := newFleet(t)
+	gate := newWatchGate(f.store)
+	server := httptest.NewServer(gate)
+	t.Cleanup(server.Close)
+	const south = 8
+	var daemons []*running
+	for i := range south {
+		daemons = append(daemons, f.startAt(server.Listener.Addr().String(), "south-a", fmt.Sprintf("vm-south-%d", i)))
+	}
+	f.daemons = append(f.daemons, daemons...)
+	for _, d := range daemons {
+		f.waitReady(d)
+	}
+	require.Eventually(t, func() bool { return len(f.store.Keys("fleet/members/")) == len(f.daemons) }, within, 10*time.Millisecond)
+	time.Sleep(1500 * time.Millisecond)
+	require.Eventually(t, gate.silence, within, time.Millisecond)
+	cut := time.Now()
+	f.configure(7, "/late/")
+	for _, d := range daemons {
+		require.Eventually(t, func() bool { return f.request(d, "GET", "/late/1", nil).status == http.StatusOK }, 3*time.Second, 10*time.Millisecond)
+	}
+	require.Less(t, time.Since(cut), 3*time.Second)
+	time.Sleep(time.Until(cut.Add(4 * time.Second)))
+	// The daemon that watched and its substitute watch once a second, three times at most.
+	require.LessOrEqual(t, gate.watches(), 2*3+1)
+}
+
+// storeDelay is the time that a call takes beyond a watchGate.
+const storeDelay = 60 * time.Millisecond
+
+// watchGate passes calls on to a store, after some time.
+type watchGate struct {
+	store *faker.Store
+	mu    sync.Mutex
+	cut   chan struct{}
+	// waiting is the number of watches without an answer; begun that of watches since the cut.
+	waiting, begun int
+}
+
+func newWatchGate(store *faker.Store) *watchGate {
+	return &watchGate{store: store, cut: make(chan struct{})}
+}
+
+// silence leaves the present watches without an answer. It returns false when there are none.
+func (g *watchGate) silence() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.waiting == 0 {
+		return false
+	}
+	close(g.cut)
+	g.cut, g.begun = make(chan struct{}), 0
+	return true
+}
+
+func (g *watchGate) watches() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.begun
+}
+
+func (g *watchGate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(storeDelay)
+	if !strings.Contains(r.URL.Path, "kv-watch") {
+		g.store.ServeHTTP(w, r)
+		return
+	}
+	g.mu.Lock()
+	g.begun++
+	g.waiting++
+	cut := g.cut
+	g.mu.Unlock()
+	defer func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.waiting--
+	}()
+	held := httptest.NewRecorder()
+	done := make(chan struct{})
+	go func() {
+		g.store.ServeHTTP(held, r)
+		close(done)
+	}()
+	select {
+	case <-cut:
+		<-r.Context().Done()
+		<-done
+	case <-done:
+		w.WriteHeader(held.Code)
+		_, _ = w.Write(held.Body.Bytes())
+	}
+}
+
 // The store may turn single daemons away while it serves the others: such a daemon learns from them,
 // and its queries reach the new shards.
 func TestDeniedDaemonLearnsFromOthers(t *testing.T) {
