Find a silent watch sooner while changes come, and end cold spells at their earliest known end

After the second one two of three regions learned the repartition of 12.5 s only when their daemons lost patience, at 13.0 s, and queries between regions crossed two configurations. A watch waited 1.67 s and 1.2 s more, and the store was called again 0.5 s after that. In the region that knew the new configuration, queries were refused for the cold allowance: a report that arrives late prolonged a cold spell, because the latest end held. Now the earliest end of a spell holds, and a report that does not fit it begins another spell.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -57,6 +57,8 @@
 	pace    Pace
 	// failures is the number of calls of the store that failed in a row.
 	failures int
+	// answeredAt is the time at which the store last answered this daemon.
+	answeredAt tiller.Millis
 	// tryStoreAt is the time at which a store that failed is asked again.
 	tryStoreAt tiller.Millis
 	// direct says that the store was the last source.
@@ -154,7 +156,7 @@
 		// An immediate answer shows sooner than a waiting watch that the store is back.
 		return probeMillis
 	}
-	wait := f.pace.Watch()
+	wait := f.pace.Watch(f.busy)
 	now := f.clock.Now()
 	for _, at := range f.missing {
 		wait = min(wait, max(at-now, 1))
@@ -302,7 +304,8 @@
 	if !f.failing() {
 		f.log.Info("Store lost", "Cause", strings.TrimSpace(err.Error()), "Revision", f.table.Revision())
 	}
-	f.tryStoreAt = f.clock.Now() + f.pace.TryStore(f.failures)
+	now := f.clock.Now()
+	f.tryStoreAt = now + f.pace.TryStore(f.failures, now-f.answeredAt)
 	f.failures++
 	f.store.CloseConnections()
 }
@@ -312,6 +315,7 @@
 func (f *Follower) regain() {
 	now := f.clock.Now()
 	f.heard.Store(int64(now))
+	f.answeredAt = now
 	if !f.failing() {
 		return
 	}
--- a/follower/pace.go
+++ b/follower/pace.go
@@ -31,8 +31,14 @@
 	return Pace{within: min(max(within, minWithin), maxWithin)}
 }
 
-// Watch returns the time that one watch of the store waits for changes.
-func (p Pace) Watch() tiller.Millis { return p.within / 3 }
+// Watch returns the time that one watch of the store waits for changes, after n watches in a row that
+// brought some. While changes come, a watch that hears of none has probably gone silent.
+func (p Pace) Watch(n int) tiller.Millis {
+	if n > 0 {
+		return p.within / 8
+	}
+	return p.within / 3
+}
 
 // Stale returns the age of another daemon's knowledge from which the daemon of a rank in its region does
 // not follow it. It is above the time of a watch of a slow store and a pause, and leaves time to ask the
@@ -48,7 +54,11 @@
 	return min(gatherMillis<<min(n, 4), p.within/10)
 }
 
-// TryStore returns the pause before a store that has failed n times in a row is called again.
-func (p Pace) TryStore(n int) tiller.Millis {
+// TryStore returns the pause before a store that has failed n times in a row, and that answered this
+// daemon silentFor ago, is called again. After a recent answer one connection may have gone silent.
+func (p Pace) TryStore(n int, silentFor tiller.Millis) tiller.Millis {
+	if n == 0 && silentFor < p.within {
+		return retryMillis / 2 // the shortest pause after a failed call
+	}
 	return min(tryStoreMillis<<min(n, 4), p.within/3)
 }
--- a/follower/pace_test.go
+++ b/follower/pace_test.go
@@ -12,8 +12,8 @@
 
 func ExamplePace() {
 	p := follower.NewPace(6000)
-	fmt.Println(p.Watch(), p.Stale(1), p.Stale(2), p.Stale(9), p.Gather(0), p.Gather(9), p.TryStore(9))
-	// Output: 2000 3600 3750 3900 150 600 2000
+	fmt.Println(p.Watch(0), p.Watch(1), p.Stale(1), p.Stale(2), p.Stale(9), p.Gather(0), p.Gather(9), p.TryStore(0, 2800), p.TryStore(0, 9000), p.TryStore(9, 9000))
+	// Output: 2000 750 3600 3750 3900 150 600 50 500 2000
 }
 
 // A daemon that follows one whose watch went silent must still notice a change in time, and a daemon
@@ -24,8 +24,8 @@
 	for _, within := range []tiller.Millis{3000, 4000, 5000, 6000} {
 		p := follower.NewPace(within)
 		require.Less(t, p.Stale(99)+2*slowCall, within)
-		require.Less(t, p.Watch()+p.Gather(9)+slowCall, p.Stale(1))
-		require.LessOrEqual(t, p.TryStore(9), within/3)
+		require.Less(t, p.Watch(0)+p.Gather(9)+slowCall, p.Stale(1))
+		require.LessOrEqual(t, p.TryStore(9, 0), within/3)
 		require.Less(t, p.Gather(0), p.Gather(1))
 	}
 }
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -210,34 +210,59 @@
 func TestSilentWatchIsReplacedOnce(t *testing.T) {
 	f := newFleet(t)
 	gate := newWatchGate(f.store)
+	daemons := f.startRegion(gate, 8)
+	require.Eventually(t, gate.silence, within, time.Millisecond)
+	cut := time.Now()
+	f.configure(7, "/late/")
+	for _, d := range daemons {
+		require.Eventually(t, func() bool { return f.request(d, "GET", "/late/1", nil).status == http.StatusOK }, 3*time.Second, 10*time.Millisecond)
+	}
+	require.Less(t, time.Since(cut), 3*time.Second)
+	time.Sleep(time.Until(cut.Add(4 * time.Second)))
+	// The daemon that watched and its substitute watch once a second, three times at most.
+	require.LessOrEqual(t, gate.watches(), 2*3+1)
+}
+
+// storeDelay is the time that a call takes beyond a watchGate.
+const storeDelay = 60 * time.Millisecond
+
+// startRegion starts n daemons in a region of their own, which reach the store through gate.
+func (f *fleet) startRegion(gate *watchGate, n int) []*running {
 	server := httptest.NewServer(gate)
-	t.Cleanup(server.Close)
-	const south = 8
+	f.t.Cleanup(server.Close)
 	var daemons []*running
-	for i := range south {
+	for i := range n {
 		daemons = append(daemons, f.startAt(server.Listener.Addr().String(), "south-a", fmt.Sprintf("vm-south-%d", i)))
 	}
 	f.daemons = append(f.daemons, daemons...)
 	for _, d := range daemons {
 		f.waitReady(d)
 	}
-	require.Eventually(t, func() bool { return len(f.store.Keys("fleet/members/")) == len(f.daemons) }, within, 10*time.Millisecond)
+	require.Eventually(f.t, func() bool { return len(f.store.Keys("fleet/members/")) == len(f.daemons) }, within, 10*time.Millisecond)
 	time.Sleep(1500 * time.Millisecond)
+	return daemons
+}
+
+// While changes come one after the other, a watch that hears of none has gone silent. The daemon must find
+// that out long before the time within which a change must be in force.
+func TestSilentWatchAmongChangesIsFoundSoon(t *testing.T) {
+	f := newFleet(t)
+	gate := newWatchGate(f.store)
+	daemons := f.startRegion(gate, 2)
+	for i := range 10 {
+		f.enter("i-busy", "busy", "east-a", "127.0.0.1:1", fmt.Sprintf("state-%d", i))
+		time.Sleep(100 * time.Millisecond)
+	}
 	require.Eventually(t, gate.silence, within, time.Millisecond)
 	cut := time.Now()
 	f.configure(7, "/late/")
 	for _, d := range daemons {
 		require.Eventually(t, func() bool { return f.request(d, "GET", "/late/1", nil).status == http.StatusOK }, 3*time.Second, 10*time.Millisecond)
 	}
-	require.Less(t, time.Since(cut), 3*time.Second)
-	time.Sleep(time.Until(cut.Add(4 * time.Second)))
-	// The daemon that watched and its substitute watch once a second, three times at most.
-	require.LessOrEqual(t, gate.watches(), 2*3+1)
+	// Half of the time within which the default settings want a change to be in force.
+	require.Less(t, time.Since(cut), 1500*time.Millisecond)
 }
 
-// storeDelay is the time that a call takes beyond a watchGate.
-const storeDelay = 60 * time.Millisecond
-
 // watchGate passes calls on to a store, after some time.
 type watchGate struct {
 	store *faker.Store
--- a/gatherer/cold.go
+++ b/gatherer/cold.go
@@ -18,12 +18,23 @@
 	filled tiller.Millis
 }
 
-// coldUntil returns the time until which an upstream that reports a rest is cold.
-func coldUntil(now, known, rest tiller.Millis) tiller.Millis {
-	if rest <= 0 {
+// coldReportMillis is the usual difference between the delays of two reports of an upstream: pauses between
+// watches and the way over other daemons.
+const coldReportMillis = 1 * tiller.Second
+
+// coldUntil returns the time until which an upstream is cold that reports a rest, where known is the end
+// that followed from its last report of knownRest. Reports arrive late, so the earliest end holds. A rest
+// that grew, is left after the known end or ends far later means that the upstream has become cold again.
+func coldUntil(now, known, knownRest, rest tiller.Millis) tiller.Millis {
+	end := now + rest
+	switch {
+	case rest <= 0:
 		return 0
+	case rest < knownRest && now < known && end <= known+coldReportMillis:
+		return min(known, end)
+	default:
+		return max(known, end)
 	}
-	return max(known, now+rest)
 }
 
 // allows says whether one more request may be sent at a rate of perSecond with at most one at once.
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -196,15 +196,15 @@
 	old, ok := s.upstreams[u.ID]
 	if ok && old.Service == u.Service && old.Address == u.Address && old.Born == u.Born {
 		old.misdirected = old.misdirected && old.Upstream.Same(u)
+		old.cold.until = coldUntil(now, old.cold.until, old.Cold, u.Cold)
 		old.Upstream = u
-		old.cold.until = coldUntil(now, old.cold.until, u.Cold)
 		return
 	}
 	if ok {
 		s.removeUpstream(u.ID)
 	}
 	added := &upstream{Upstream: u, stat: balancer.New()}
-	added.cold.until = coldUntil(now, 0, u.Cold)
+	added.cold.until = coldUntil(now, 0, 0, u.Cold)
 	s.upstreams[u.ID] = added
 	s.services[u.Service] = append(s.services[u.Service], added)
 	if s.settled {
