--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -145,15 +145,13 @@
 		sh.reason = tiller.ReasonRetryBudget
 		return false
 	}
-	c := s.next(now, sh)
-	u := c.upstream
+	u, waits := s.place(now, sh)
+	if waits {
+		return true
+	}
 	if u == nil {
 		return false
 	}
-	if c.full || s.isBehind(now, sh) {
-		s.wait(now, sh)
-		return true
-	}
 	if sh.hasTried(u) && reason == tiller.ReasonShed && sh.hedgeAt != now {
 		sh.hedgeAt = now + shedPauseMillis
 		return sh.hedgeAt < sh.query.end-minUsefulMillis
--- a/gatherer/load_test.go
+++ b/gatherer/load_test.go
@@ -77,6 +77,7 @@
 // Upstreams that pause at different times must not decide the latency of a query: with 57 in 100
 // queries meeting a pause, without second requests fewer than half would be whole in time.
 func TestPausesAreHedged(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 1)
 	for _, s := range w.sorted() {
 		s.pauseEvery, s.pause, s.pausePhase = 6000, 250, tiller.Millis(w.random.IntN(6000))
@@ -92,6 +93,7 @@
 // Half of the upstreams shed most requests with good health. A shard that another daemon could not
 // bring must not be sent again as a first request, outside the budget of the fleet.
 func TestSheddingKeepsTheBudget(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 2)
 	for _, s := range w.sorted() {
 		if w.random.Float64() < 0.8 {
@@ -107,6 +109,7 @@
 // Connections are reset after the request ran: a daemon must count that as an attempt, also when
 // the request was sent by another daemon for it.
 func TestResetsKeepTheAttempts(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 3)
 	for _, s := range w.sorted() {
 		s.reset = 0.3
@@ -120,6 +123,7 @@
 // Daemons die while they gather for others: what they may have asked for counts, and the others
 // serve on.
 func TestDeadDaemonsKeepTheAttempts(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 4)
 	for i := range shards {
 		third := w.servers[fmt.Sprintf("u-%d-0", i)].Upstream
@@ -149,6 +153,7 @@
 // Messages between daemons are late, so that a sub-query is replaced although the other daemon has
 // begun it, and learns of that late too. Both together must keep to the attempts of the route.
 func TestLateMessagesKeepTheAttempts(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 13)
 	for _, s := range w.sorted() {
 		s.pauseEvery, s.pause, s.pausePhase = 3000, 250, tiller.Millis(w.random.IntN(3000))
@@ -169,6 +174,7 @@
 
 // Upstreams fall silent. After a second, few queries may still wait for them.
 func TestSilentUpstreamsAreAvoided(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 5)
 	for i := range 8 {
 		w.servers[fmt.Sprintf("u-%d-0", i)].silent = true
@@ -184,6 +190,7 @@
 
 // Slow upstreams must be left alone once that is measured, although they are healthy.
 func TestSlowUpstreamsAreAvoided(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 6)
 	slow := make(map[string]bool)
 	for i := range 6 {
@@ -208,6 +215,7 @@
 // When too many shards have no upstream, a query must be refused at once as not run, and not be
 // held until its deadline.
 func TestQueryWithoutCoverageIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 7)
 	for i := range 3 {
 		w.tell(gatherer.UpstreamGone{ID: fmt.Sprintf("u-%d-0", i)})
@@ -225,6 +233,7 @@
 
 // A cold upstream must get no more requests a second from all daemons together than it bears.
 func TestColdUpstreamsGetTheirAllowance(t *testing.T) {
+	t.Parallel()
 	for _, warmup := range []float64{0, 20} {
 		w := newWorld(t, 8)
 		services := []cataloger.Service{{Name: shardName(0), MaxConnections: 26, WarmupPerSecond: warmup}}
@@ -254,6 +263,7 @@
 // Operators that lower the budget while upstreams fail must see fewer extra requests at once, also
 // from daemons that have saved some up.
 func TestLoweredBudgetHoldsAtOnce(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 9)
 	w.load(6000, 90, "/q/1")
 	w.run(6000)
@@ -278,6 +288,7 @@
 // bears a quarter of the requests. Most queries can do without two shards only. Those that can be
 // served must be: requests that wait in a long queue at such an upstream are all late.
 func TestShortShardsServeWhatTheyCan(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 10)
 	w.load(4000, 90, "/q/1")
 	w.run(4000)
@@ -299,6 +310,7 @@
 // out two shards is mostly in vain, one that may leave out five needs only one of the six, and must
 // get it, although its priority is lower.
 func TestRouteOutOfReachLeavesRoomToOthers(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 11)
 	check := w.gatherRoute()
 	check.Name, check.Prefix, check.MinCoverage, check.Priority = "check", "/c/", 0.75, 2
@@ -331,6 +343,7 @@
 
 // Shards that are back must be served again soon, also when nothing but refused queries asks for them.
 func TestForecastIsForgotten(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 12)
 	for i := range 6 {
 		for j := range 2 {
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -113,14 +113,13 @@
 
 // sendFirst sends the first request of a shard.
 func (s *State) sendFirst(now tiller.Millis, sh *shard) {
-	c := s.next(now, sh)
+	u, waits := s.place(now, sh)
 	switch {
-	case c.upstream == nil:
+	case waits:
+	case u == nil:
 		sh.lose(tiller.ReasonNoUpstream)
-	case c.full || s.isBehind(now, sh):
-		s.wait(now, sh)
 	default:
-		s.send(now, sh, c.upstream, s.pay(sh))
+		s.send(now, sh, u, s.pay(sh))
 	}
 }
 
--- a/gatherer/room.go
+++ b/gatherer/room.go
@@ -47,6 +47,17 @@
 	return max(n, 1)
 }
 
+// place returns the upstream for the next request of a shard; nil when there is none. A shard that has to
+// wait for room waits from then on, which the second result says.
+func (s *State) place(now tiller.Millis, sh *shard) (*upstream, bool) {
+	c := s.next(now, sh)
+	if c.upstream != nil && (c.full || s.isBehind(now, sh)) {
+		s.wait(now, sh)
+		return nil, true
+	}
+	return c.upstream, false
+}
+
 // wait lets a shard wait for room at an upstream. A second request does not stand in line: the first
 // may still be answered.
 func (s *State) wait(now tiller.Millis, sh *shard) {
--- a/gatherer/world_test.go
+++ b/gatherer/world_test.go
@@ -309,22 +309,17 @@
 func (w *world) send(d *daemon, e gatherer.Send) {
 	s := w.servers[e.Upstream.ID]
 	id := w.clientID(d, e.Query)
-	ended := false
+	finish, ended := w.once(d, e.Attempt)
 	end := func(event gatherer.AttemptEnded) {
-		if ended {
-			return
-		}
-		ended = true
-		delete(d.sent, e.Attempt)
 		event.Attempt = e.Attempt
-		w.step(d, event)
+		finish(event)
 	}
 	lost := func(reason tiller.Reason) gatherer.AttemptEnded {
 		return gatherer.AttemptEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, reason, nil)}
 	}
 	cancel := func() {}
 	leave := func(reason tiller.Reason) {
-		if !ended {
+		if !ended() {
 			w.after(way(d.region, s.Region), func() { cancel() })
 		}
 		end(lost(reason))
@@ -338,6 +333,20 @@
 	})
 }
 
+// once returns a function that ends an attempt of a daemon with an event, the first time it is called, and
+// one that says whether it was.
+func (w *world) once(d *daemon, attempt uint64) (end func(gatherer.Event), ended func() bool) {
+	done := false
+	return func(event gatherer.Event) {
+		if done {
+			return
+		}
+		done = true
+		delete(d.sent, attempt)
+		w.step(d, event)
+	}, func() bool { return done }
+}
+
 // clientID returns the client's identifier of a query of a daemon.
 func (w *world) clientID(d *daemon, query uint64) string {
 	if id, ok := d.subs[query]; ok {
@@ -427,15 +436,10 @@
 			peer = other
 		}
 	}
-	ended := false
+	finish, _ := w.once(d, e.Attempt)
 	end := func(event gatherer.SubQueryEnded) {
-		if ended {
-			return
-		}
-		ended = true
-		delete(d.sent, e.Attempt)
 		event.Attempt = e.Attempt
-		w.step(d, event)
+		finish(event)
 	}
 	id := w.clientID(d, e.Query)
 	w.queries++
