Send the last request of a shard where answers come

The second and last request of a shard went to the nearest upstream again, because a failure of a shard counted 60 ms whichever request it was. A failure now counts in full when no further request can follow: when the route's attempts or the budget of further requests are used up.

What is left: sub-queries whose last request is still out when their time ends.

--- a/gatherer/choose.go
+++ b/gatherer/choose.go
@@ -52,10 +52,12 @@
 	return farPriorMillis
 }
 
-// cost ranks an upstream for a query.
-func (s *State) cost(now tiller.Millis, u *upstream, q *query) float64 {
+// cost ranks an upstream for the next request of a shard. Where a first request is lost, a second one
+// mostly follows; where the last one is lost, so is the shard.
+func (s *State) cost(now tiller.Millis, u *upstream, sh *shard) float64 {
+	q := sh.query
 	failure := failureMillis
-	if !q.single() {
+	if !q.single() && s.mayFollow(sh) {
 		failure = shardFailureMillis
 	}
 	cost := u.stat.Cost(now, s.expected(now, u, q), u.Slots, failure)
@@ -67,6 +69,11 @@
 	return cost
 }
 
+// mayFollow says whether the route and the budget allow one more request after the next one.
+func (s *State) mayFollow(sh *shard) bool {
+	return sh.ran+sh.outstanding+1 < sh.query.route.Attempts && s.budget(sh.service).Allows(1)
+}
+
 // mayCarry says whether this daemon's share of the connections of an upstream has room. An upstream
 // resets connections beyond its limit, and a request on one of those is lost.
 func (s *State) mayCarry(u *upstream) bool {
@@ -102,7 +109,7 @@
 		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || u.isDown(now) || !s.admitsCold(now, u) {
 			continue
 		}
-		c := candidate{upstream: u, cost: s.cost(now, u, sh.query)}
+		c := candidate{upstream: u, cost: s.cost(now, u, sh)}
 		if !s.hasRoom(now, u, sh.query) {
 			c.full = true
 			c.cost += u.stat.Mean(now, s.expected(now, u, sh.query))
--- a/gatherer/load_test.go
+++ b/gatherer/load_test.go
@@ -172,6 +172,27 @@
 	w.requireBudget()
 }
 
+// Two of a shard's three upstreams lose many answers after they ran the request. A shard has two attempts,
+// so most queries reach their coverage only if the second one goes where answers come.
+func TestLastAttemptGoesWhereAnswersCome(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 17)
+	for i := range shards {
+		third := w.servers[fmt.Sprintf("u-%d-0", i)].Upstream
+		third.ID = fmt.Sprintf("u-%d-2", i)
+		third.Region = regions[(i+2)%len(regions)]
+		third.Domain = third.Region + "-a"
+		w.add(&server{Upstream: third, work: 11, queue: 12})
+		w.servers[fmt.Sprintf("u-%d-0", i)].reset = 0.4
+		w.servers[fmt.Sprintf("u-%d-1", i)].reset = 0.4
+	}
+	w.load(11000, 45, "/q/1")
+	w.run(14000)
+	w.requireAttempts(2)
+	w.requireBudget()
+	require.GreaterOrEqual(t, w.share(inTime), 0.9)
+}
+
 // Upstreams fall silent. After a second, few queries may still wait for them.
 func TestSilentUpstreamsAreAvoided(t *testing.T) {
 	t.Parallel()
