Open connections to the daemons that gather for other regions ahead, and keep them for two minutes

With 74 daemons two of them rarely ask each other, so connections were new or had expired after 20 s.

A daemon now opens a connection to each daemon of another region that may gather for it: once the fleet has settled, when the fleet or the configuration changes, and when a daemon can be reached again. It keeps idle ones for two minutes, which daemons do not close.

Ruled out: late timers (the daemons' own decisions come at 110 ms as planned).

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -155,7 +155,9 @@
 	case gatherer.Ask:
 		x.ask(e)
 	case gatherer.Warm:
-		go x.client.Warm(e.Upstream.Address, e.Upstream.ID, e.Connections)
+		go x.client.Warm(forwarder.Request{Address: e.Upstream.Address, Key: e.Upstream.ID}, e.Connections)
+	case gatherer.WarmPeer:
+		go x.client.Warm(gatherRequest(e.Member.Address), 1)
 	case gatherer.Probe:
 		time.AfterFunc(e.After.Duration(), func() { x.probe(e.Member) })
 	case gatherer.Confirm:
--- a/executor/peer.go
+++ b/executor/peer.go
@@ -59,17 +59,27 @@
 	}
 }
 
+// peerKeep is the time for which an idle connection to another daemon is kept. Daemons do not close them;
+// in a large fleet two daemons may have nothing to ask each other for that long.
+const peerKeep = 2 * tiller.Minute
+
+// gatherRequest returns a request for a sub-query without its body.
+func gatherRequest(address string) forwarder.Request {
+	return forwarder.Request{
+		Address: address, Key: GatherPath, Method: http.MethodPost, URI: GatherPath, Host: address,
+		Header: http.Header{}, Keep: peerKeep,
+	}
+}
+
 func (x *Executor) askPeer(ctx context.Context, address string, message SubQuery, accepted func(confirm func())) (gatherer.SubReply, *tiller.Failure) {
 	var reply gatherer.SubReply
 	body, err := cbor.Marshal(message)
 	if err != nil {
 		return reply, tiller.NewFailure(tiller.NotRun, tiller.ReasonInternal, err)
 	}
-	resp, failure := x.client.Do(ctx, forwarder.Request{
-		Address: address, Key: GatherPath, Method: http.MethodPost, URI: GatherPath, Host: address,
-		Header: http.Header{}, Body: body,
-		Accepted: accepted,
-	})
+	r := gatherRequest(address)
+	r.Body, r.Accepted = body, accepted
+	resp, failure := x.client.Do(ctx, r)
 	if failure != nil {
 		return reply, failure
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -48,6 +48,9 @@
 	Body   []byte
 	// ID is compared with the identifier in the answer.
 	ID string
+	// Keep is the time for which the connection is kept while idle if the answer names none; 0 stands for
+	// 20 s, which upstreams usually allow.
+	Keep tiller.Millis
 	// MaxIdle is the longest time for which a used connection may have been idle; 0 sets no bound.
 	MaxIdle tiller.Millis
 	// Accepted is called when the header of the answer has come; it may be nil. Its argument sends one
@@ -129,10 +132,9 @@
 	return resp, nil
 }
 
-// Warm opens connections that later requests with the same address and key use. A connection that
-// cannot be opened is left to those requests, which report it.
-func (c *Client) Warm(address, key string, n int) {
-	r := Request{Address: address, Key: key}
+// Warm opens n connections that later requests with the Address and Key of r use, and keeps them for the
+// Keep of r. A connection that cannot be opened is left to those requests, which report it.
+func (c *Client) Warm(r Request, n int) {
 	for range n {
 		conn, failure := c.open(context.Background(), r)
 		if failure != nil {
@@ -186,7 +188,11 @@
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
-	return &connection{Conn: raw, reader: bufio.NewReader(raw), keep: defaultIdle, fresh: true}, nil
+	keep := r.Keep
+	if keep <= 0 {
+		keep = defaultIdle
+	}
+	return &connection{Conn: raw, reader: bufio.NewReader(raw), keep: keep, fresh: true}, nil
 }
 
 func poolKey(r Request) string { return r.Address + " " + r.Key }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -176,6 +176,27 @@
 	}
 }
 
+// Two daemons of a large fleet may have nothing to ask each other for a minute: their connection must last
+// that long, while one to an upstream that names no time must not be trusted for so long.
+func TestKeep(t *testing.T) {
+	for _, keep := range []tiller.Millis{0, 2 * tiller.Minute} {
+		u := newUpstream(t, whole)
+		now := tiller.Millis(1)
+		clock := tiller.Clock{Now: func() tiller.Millis { return now }}
+		c := forwarder.New(clock, func(h http.Header) string { return h.Get("Id") })
+		r := u.request("ID")
+		r.Keep = keep
+		c.Warm(r, 1)
+		for range 2 {
+			now += tiller.Minute
+			c.Sweep()
+			resp, failure := c.Do(context.Background(), r)
+			require.Nil(t, failure)
+			require.Equal(t, keep == 0, resp.Opened)
+		}
+	}
+}
+
 // An upstream may answer before it has read a long body. The rest of the body must not be followed
 // by another request on the connection.
 func TestEarlyAnswerToLongBody(t *testing.T) {
--- a/gatherer/effect.go
+++ b/gatherer/effect.go
@@ -36,6 +36,9 @@
 	Connections int
 }
 
+// WarmPeer opens a connection to another daemon, so that the first sub-query does not wait for it.
+type WarmPeer struct{ Member cataloger.Member }
+
 // Cancel ends an attempt after a delay; the upstream notices that its connection closes.
 type Cancel struct {
 	Attempt uint64
@@ -109,6 +112,7 @@
 func (Ask) effect()           {}
 func (Confirm) effect()       {}
 func (Warm) effect()          {}
+func (WarmPeer) effect()      {}
 func (Cancel) effect()        {}
 func (Pass) effect()          {}
 func (ReplyGathered) effect() {}
--- a/gatherer/gatherers.go
+++ b/gatherer/gatherers.go
@@ -136,7 +136,7 @@
 func (s *State) gathererFor(now tiller.Millis, q *query, u *upstream, except *peer) (rankedPeer, bool) {
 	best := rankedPeer{cost: math.Inf(1)}
 	found := false
-	for rank, p := range s.candidatesFor(q, u) {
+	for rank, p := range s.candidates(u, q.groups) {
 		if p == nil {
 			// The own daemon needs no hop.
 			return rankedPeer{}, true
@@ -151,11 +151,11 @@
 	return best, found
 }
 
-// candidatesFor returns the daemons that may gather the shard that an upstream serves, in the order
-// of preference.
-func (s *State) candidatesFor(q *query, u *upstream) []*peer {
+// candidates returns the daemons that may gather the shard that an upstream serves, in the order of
+// preference. groups is the number of groups of the query that the shard belongs to.
+func (s *State) candidates(u *upstream, groups int) []*peer {
 	if s.isGrouped(u.Service) {
-		return s.gatherers(groupKey{u.Domain, groupOf(u.Service, q.groups)})
+		return s.gatherers(groupKey{u.Domain, groupOf(u.Service, groups)})
 	}
 	if u.Region == s.settings.Region {
 		return []*peer{nil}
--- a/gatherer/probe.go
+++ b/gatherer/probe.go
@@ -34,7 +34,7 @@
 	if p.unreachable || reason != tiller.ReasonConnectFailed && reason != tiller.ReasonSilent {
 		return
 	}
-	p.unreachable, p.probeAfter = true, probeMillis
+	p.unreachable, p.warmed, p.probeAfter = true, false, probeMillis
 	s.emit(Probe{Member: p.Member, After: p.probeAfter})
 }
 
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -9,25 +9,6 @@
 	"github.com/carawaytiller/carawaytiller/hedger"
 )
 
-// warmConnections is the number of connections that are opened to a new upstream of the own region.
-const warmConnections = 2
-
-// settle opens connections ahead of the first requests.
-func (s *State) settle() {
-	s.settled = true
-	for _, u := range s.upstreams {
-		s.warm(u)
-	}
-}
-
-// warm opens connections to an upstream that this daemon is going to ask.
-func (s *State) warm(u *upstream) {
-	if u.Region != s.settings.Region || u.Draining || s.isGrouped(u.Service) && u.Domain != s.settings.Domain || !s.isGatherer(u.Service, s.groupsOf(u.Service)) {
-		return
-	}
-	s.emit(Warm{Upstream: u.Upstream, Connections: warmConnections})
-}
-
 // groupsOf returns the number of groups of the route that a shard belongs to.
 func (s *State) groupsOf(service string) int {
 	if s.configuration == nil {
@@ -98,6 +79,8 @@
 	// unreachable says that the daemon gets no sub-queries until a probe reaches it.
 	unreachable bool
 	probeAfter  tiller.Millis
+	// warmed says that a connection was opened to the daemon ahead of sub-queries.
+	warmed bool
 	// staleUntil is the time until which the daemon is taken to know too little.
 	staleUntil tiller.Millis
 }
@@ -145,16 +128,19 @@
 		s.confirm(now, e.Query)
 	case PeerProbed:
 		s.endProbe(e)
+		s.warmPeers()
 	case FleetSettled:
 		s.settle()
 	case ConfigurationChanged:
 		s.adopt(e.Configuration)
+		s.warmPeers()
 	case UpstreamChanged:
 		s.changeUpstream(now, e.Upstream)
 	case UpstreamGone:
 		s.removeUpstream(e.ID)
 	case MembersChanged:
 		s.changeMembers(now, e.Members)
+		s.warmPeers()
 	case BoundsChanged:
 		s.changeBounds(e.Bounds)
 	case DomainEvacuated:
--- /dev/null
+++ b/gatherer/warm.go
@@ -0,0 +1,41 @@
+package gatherer
+
+// warmConnections is the number of connections that are opened to a new upstream of the own region.
+const warmConnections = 2
+
+// settle opens connections ahead of the first requests.
+func (s *State) settle() {
+	s.settled = true
+	for _, u := range s.upstreams {
+		s.warm(u)
+	}
+	s.warmPeers()
+}
+
+// warm opens connections to an upstream that this daemon is going to ask.
+func (s *State) warm(u *upstream) {
+	if u.Region != s.settings.Region || u.Draining || s.isGrouped(u.Service) && u.Domain != s.settings.Domain || !s.isGatherer(u.Service, s.groupsOf(u.Service)) {
+		return
+	}
+	s.emit(Warm{Upstream: u.Upstream, Connections: warmConnections})
+}
+
+// warmPeers opens a connection to each daemon of another region that may gather for this one. To open
+// one takes the way there and back, which a sub-query would have to wait for.
+func (s *State) warmPeers() {
+	if !s.settled || s.configuration == nil {
+		return
+	}
+	for _, u := range s.upstreams {
+		if u.Region == s.settings.Region || s.configuration.ShardsWith(u.Service) == 0 {
+			continue
+		}
+		for _, p := range s.candidates(u, s.groupsOf(u.Service)) {
+			if p == nil || p.warmed || p.unreachable {
+				continue
+			}
+			p.warmed = true
+			s.emit(WarmPeer{Member: p.Member})
+		}
+	}
+}
--- /dev/null
+++ b/gatherer/warm_test.go
@@ -0,0 +1,38 @@
+package gatherer_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carawaytiller/carawaytiller/cataloger"
+	"github.com/carawaytiller/carawaytiller/gatherer"
+)
+
+// warmed returns the daemons to which connections are opened.
+func warmed(effects []gatherer.Effect) []string {
+	var vms []string
+	for _, e := range effects {
+		if w, ok := e.(gatherer.WarmPeer); ok {
+			vms = append(vms, w.Member.VM)
+		}
+	}
+	return vms
+}
+
+// A sub-query to another region must not wait for its connection, which takes as long as the sub-query
+// itself: on a day of 74 daemons, 13 in 100 urgent queries were late because of that.
+func TestFarGatherersAreWarmed(t *testing.T) {
+	w := newWorld(t, 21)
+	d := w.daemons[0] // east, like vm-3 and vm-6
+	far := []string{"vm-1", "vm-2", "vm-4", "vm-5", "vm-7", "vm-8"}
+	require.ElementsMatch(t, far, warmed(d.state.Step(w.now, gatherer.FleetSettled{})))
+
+	var members []cataloger.Member
+	for _, other := range w.daemons {
+		members = append(members, cataloger.Member{VM: other.vm, Address: other.vm, Region: other.region})
+	}
+	require.Empty(t, warmed(d.state.Step(w.now, gatherer.MembersChanged{Members: members})))
+	members[1].Incarnation = 2
+	require.Equal(t, []string{"vm-1"}, warmed(d.state.Step(w.now, gatherer.MembersChanged{Members: members})))
+}
