--- a/gatherer/deadline.go
+++ b/gatherer/deadline.go
@@ -3,8 +3,9 @@
 import tiller "github.com/carawaytiller/carawaytiller"
 
 const (
-	// answerMarginMillis is kept for the way of the answer to the client and for late timers.
-	answerMarginMillis = 10
+	// answerMarginMillis is kept for the way from the client and back, 3 ms each on the users' deployments,
+	// for assembling the answer on the smallest VMs and for late timers.
+	answerMarginMillis = 13
 	// newConnectionMillis is the further time that the client has waited for its connection.
 	newConnectionMillis = 7
 	// endMarginMillis is kept so that a failure reaches the client before it gives up: the ways of
