--- a/follower/pace.go
+++ b/follower/pace.go
@@ -43,7 +43,7 @@
 // Stale returns the age of another daemon's knowledge from which the daemon of a rank in its region does
 // not follow it. It is above the time of a watch of a slow store and a pause, and leaves time to ask the
 // store instead. It grows with the rank: when a watch goes silent, the daemon that ranks next watches the
-// store before the others lose their patience, and they follow it.
+// store before the others give the first one up, and they follow it.
 func (p Pace) Stale(rank int) tiller.Millis {
 	return p.within*3/5 + staggerMillis*tiller.Millis(min(max(rank-1, 0), maxStagger))
 }
--- a/follower/pace_test.go
+++ b/follower/pace_test.go
@@ -8,6 +8,7 @@
 
 	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/follower"
+	"github.com/carawaytiller/carawaytiller/platform"
 )
 
 func ExamplePace() {
@@ -21,11 +22,15 @@
 func TestPace(t *testing.T) {
 	// slowCall is a call of a slow store, with the way.
 	const slowCall = 350
+	// longestPause is the longest one after a first failed call.
+	const longestPause = 150
 	for _, within := range []tiller.Millis{3000, 4000, 5000, 6000} {
 		p := follower.NewPace(within)
 		require.Less(t, p.Stale(99)+2*slowCall, within)
 		require.Less(t, p.Watch(0)+p.Gather(9)+slowCall, p.Stale(1))
 		require.LessOrEqual(t, p.TryStore(9, 0), within/3)
+		// While changes come, a silent watch must be found in half of the time.
+		require.LessOrEqual(t, p.Watch(1)+platform.WatchMargin+p.TryStore(0, 0)+longestPause, within/2)
 		require.Less(t, p.Gather(0), p.Gather(1))
 	}
 }
