Open connections at once when a daemon joins a fleet that has settled

Cause: after a restart of all daemons queries come within a second, and connections were opened ahead 3 s after the start only, the time in which daemons that start together get to know each other. A daemon that finds others that started at least so long ago does it once it has read the store.

TestJoiningDaemonWarmsAtOnce.

--- a/cataloger/member.go
+++ b/cataloger/member.go
@@ -10,7 +10,8 @@
 	Region  string
 	// Power is the processor share of the VM in thousandths of a core.
 	Power int
-	// Incarnation differs between the starts of a daemon on one VM.
+	// Incarnation is the time of the daemon's start in nanoseconds since the Unix epoch. It differs between
+	// the starts on one VM.
 	Incarnation int64
 	// Leaving says that the daemon is stopping and takes no more sub-queries.
 	Leaving bool
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -184,6 +184,7 @@
 		f.table.Reset(first)
 	}
 	f.applyAll(items, first, true)
+	f.emit(gatherer.StoreRead{})
 	f.log.Info("Read the store", "Revision", first, "Keys", len(items), "Stale", stale)
 	return nil
 }
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -63,8 +63,8 @@
 	g.client = forwarder.New(clock, platform.RequestID)
 	incarnation := time.Now().UnixNano()
 	state := gatherer.New(gatherer.Settings{
-		VM: s.VM, Domain: s.Domain, Region: s.Region, Power: s.Power, Seed: xxhash.Sum64String(s.VM) + uint64(incarnation),
-		Bounds: s.Bounds,
+		VM: s.VM, Domain: s.Domain, Region: s.Region, Power: s.Power, Bounds: s.Bounds,
+		Incarnation: incarnation, Seed: xxhash.Sum64String(s.VM) + uint64(incarnation),
 	})
 	codec := executor.Codec{Outgoing: platform.SetAttempt, Incoming: incoming}
 	seams := executor.Observer{Effect: g.observer.effect, Answer: g.observer.answer}
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -60,6 +60,9 @@
 // are opened ahead of requests.
 type FleetSettled struct{}
 
+// StoreRead says that all entries of the store have been read.
+type StoreRead struct{}
+
 // ConfigurationChanged brings a configuration into force, unless a newer one is.
 type ConfigurationChanged struct{ Configuration *cataloger.Configuration }
 
@@ -92,6 +95,7 @@
 func (SubQueryAccepted) event()     {}
 func (SubQueryConfirmed) event()    {}
 func (FleetSettled) event()         {}
+func (StoreRead) event()            {}
 func (ConfigurationChanged) event() {}
 func (UpstreamChanged) event()      {}
 func (UpstreamGone) event()         {}
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -24,6 +24,8 @@
 	Region string
 	// Power is the processor share of the VM in thousandths of a core; it ranks daemons.
 	Power int
+	// Incarnation is the time of the start, as in cataloger.Member.
+	Incarnation int64
 	// Seed starts the random numbers that break ties.
 	Seed uint64
 	// Bounds are those at the start; BoundsChanged brings others.
@@ -131,6 +133,8 @@
 		s.warmPeers()
 	case FleetSettled:
 		s.settle()
+	case StoreRead:
+		s.join()
 	case ConfigurationChanged:
 		s.adopt(e.Configuration)
 		s.warmPeers()
--- a/gatherer/warm.go
+++ b/gatherer/warm.go
@@ -12,6 +12,20 @@
 	s.warmPeers()
 }
 
+// settledNanos is the age of another daemon from which the fleet is taken to have settled: the time after
+// which FleetSettled comes.
+const settledNanos = 3_000_000_000
+
+// join opens connections at once in a fleet that has settled before this daemon started. After a restart
+// queries come right away.
+func (s *State) join() {
+	for _, p := range s.peers {
+		if !s.settled && s.settings.Incarnation-p.Incarnation >= settledNanos {
+			s.settle()
+		}
+	}
+}
+
 // warm opens connections to an upstream that this daemon is going to ask.
 func (s *State) warm(u *upstream) {
 	if u.Region != s.settings.Region || u.Draining || s.isGrouped(u.Service) && u.Domain != s.settings.Domain || !s.isGatherer(u.Service, s.groupsOf(u.Service)) {
--- a/gatherer/warm_test.go
+++ b/gatherer/warm_test.go
@@ -36,3 +36,26 @@
 	members[1].Incarnation = 2
 	require.Equal(t, []string{"vm-1"}, warmed(d.state.Step(w.now, gatherer.MembersChanged{Members: members})))
 }
+
+// After a restart queries come right away: a daemon that joins a fleet which has long settled must not wait
+// until it would have settled with daemons that start together.
+func TestJoiningDaemonWarmsAtOnce(t *testing.T) {
+	const start = 10_000_000_000
+	for age, want := range map[int64]int{5_000_000_000: 6, 1_000_000_000: 0} {
+		w := newWorld(t, 23)
+		d := w.daemons[0]
+		d.state = gatherer.New(gatherer.Settings{VM: d.vm, Region: d.region, Incarnation: start})
+		for _, s := range w.sorted() {
+			w.step(d, gatherer.UpstreamChanged{Upstream: s.Upstream})
+		}
+		w.configure(2, w.gatherRoute())
+		var members []cataloger.Member
+		for _, other := range w.daemons {
+			members = append(members, cataloger.Member{
+				VM: other.vm, Address: other.vm, Region: other.region, Incarnation: start - age,
+			})
+		}
+		require.Empty(t, warmed(d.state.Step(w.now, gatherer.MembersChanged{Members: members})))
+		require.Len(t, warmed(d.state.Step(w.now, gatherer.StoreRead{})), want)
+	}
+}
