--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -160,18 +160,20 @@
 	d := f.daemons[0]
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	failures := 0
+	var failures []string
 	started := time.Now()
 	for i := range 40 {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			time.Sleep(time.Duration(i) * 40 * time.Millisecond)
+			sent := time.Since(started)
 			a := f.send(d, "POST", "/one/1", fmt.Sprintf("stop-%d", i), strings.NewReader("body"))
 			mu.Lock()
 			defer mu.Unlock()
 			if a.failure != nil || a.status != http.StatusOK {
-				failures++
+				failures = append(failures, fmt.Sprintf("%d sent after %v, ended after %v: %d %q %v, ran %d times",
+					i, sent, time.Since(started), a.status, a.body, a.failure, f.upstreams["i-single"].Ran(a.id)))
 			}
 		}()
 	}
@@ -179,7 +181,7 @@
 	d.stop()
 	require.Eventually(t, func() bool { return f.ready(d) != http.StatusOK }, time.Second, 5*time.Millisecond)
 	wg.Wait()
-	require.Zero(t, failures)
+	require.Empty(t, failures)
 	require.NoError(t, <-d.ended)
 	require.Less(t, time.Since(started), 4100*time.Millisecond)
 	require.Len(t, f.store.Keys("fleet/members/"), 2)
