Be ready only once the whole store has been read

The entries are applied one after the other, and a daemon was ready with the first upstream. Ruled out: the planned stop, which had not begun.

TestReadyOnceEverythingIsRead failed before. Opening connections to daemons again is looked at only after a probe that reached one, no more after each that did not.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -113,10 +113,10 @@
 	return limits
 }
 
-// IsReady says whether the daemon can serve: it knows a configuration and is not stopping.
+// IsReady says whether the daemon can serve: it has read the store and is not stopping.
 func (g *Gatekeeper) IsReady() bool {
 	ready := false
-	g.executor.Read(func(s *gatherer.State) { ready = s.Version() > 0 && s.Upstreams() > 0 })
+	g.executor.Read(func(s *gatherer.State) { ready = s.IsReady() })
 	return ready && !g.stopping.Load()
 }
 
--- a/gatherer/probe.go
+++ b/gatherer/probe.go
@@ -46,6 +46,7 @@
 	}
 	if e.Reached {
 		p.unreachable = false
+		s.warmPeers()
 		return
 	}
 	p.probeAfter = min(2*p.probeAfter, maxProbeMillis)
--- a/gatherer/route_test.go
+++ b/gatherer/route_test.go
@@ -300,3 +300,21 @@
 	require.NotNil(t, w.outcomes[id].refused)
 	require.Equal(t, tiller.ReasonCoverageTooLow, w.outcomes[id].refused.Reason)
 }
+
+// The entries of the store are applied one after the other. A daemon that is ready before the last one
+// refuses its first requests for want of upstreams that it has read already.
+func TestReadyOnceEverythingIsRead(t *testing.T) {
+	state := gatherer.New(gatherer.Settings{VM: "vm-1", Region: "east"})
+	route := cataloger.Route{Name: "one", Host: "h", Prefix: "/", Services: []cataloger.Weighted{{Service: "single", Weight: 1}}}
+	events := []gatherer.Event{
+		gatherer.ConfigurationChanged{Configuration: cataloger.New(1, cataloger.Limits{}, []cataloger.Route{route}, nil)},
+		gatherer.UpstreamChanged{Upstream: cataloger.Upstream{ID: "u-1", Service: "other", Address: "address", Region: "east"}},
+		gatherer.UpstreamChanged{Upstream: cataloger.Upstream{ID: "u-2", Service: "single", Address: "address", Region: "east"}},
+	}
+	for _, e := range events {
+		state.Step(1, e)
+		require.False(t, state.IsReady())
+	}
+	state.Step(1, gatherer.StoreRead{})
+	require.True(t, state.IsReady())
+}
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -48,6 +48,7 @@
 	attempts      map[uint64]*attempt
 	lastAttempt   uint64
 	settled       bool
+	storeRead     bool
 	wakes         wakes
 	budgets       map[string]hedger.Budget
 	splits        map[string]*split
@@ -130,10 +131,10 @@
 		s.confirm(now, e.Query)
 	case PeerProbed:
 		s.endProbe(e)
-		s.warmPeers()
 	case FleetSettled:
 		s.settle()
 	case StoreRead:
+		s.storeRead = true
 		s.join()
 	case ConfigurationChanged:
 		s.adopt(e.Configuration)
@@ -225,6 +226,11 @@
 	delete(s.evacuated, e.Domain)
 }
 
+// IsReady says whether the daemon can serve: it has read the store, and found a configuration and upstreams.
+func (s *State) IsReady() bool {
+	return s.storeRead && s.configuration != nil && len(s.upstreams) > 0
+}
+
 // Upstreams returns the number of upstreams that have an entry.
 func (s *State) Upstreams() int { return len(s.upstreams) }
 
