Hold the settle time, the pause after failures and the tests' set-ups once

Found on reading the whole change again; behaviour stays as it is. - The time in which daemons that start together get to know each other stood in gatekeeper and, in nanoseconds, in gatherer. gatherer.SettleMillis serves both. - Follower and Announcer had the same doubling pause with jitter after a failed call: backoff. - What a failure costs depends on the shard, and was worked out again for each of its upstreams, budget included: failureCost, once a choice. - The virtual fleet's third upstreams, pauses and members, and the waits of the loopback fleet for announced daemons and served paths, were written out in each test. The confirmation's test uses the client of the other tests. Assertions and bounds are the same; the random records of one test are drawn before its pauses now.

Ruled out: one buffer for the tests of tillergate and tillerd. They are modules of their own, and a package for eleven lines would be exported by the library for that alone.

--- a/follower/announcer.go
+++ b/follower/announcer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
@@ -60,16 +59,15 @@
 
 // Run announces the daemon until ctx ends, and removes its entry then.
 func (a *Announcer) Run(ctx context.Context) {
-	pause := tiller.Millis(retryMillis)
+	failed := newBackoff(announceRetryMillis)
 	for ctx.Err() == nil {
 		err := a.hold(ctx)
 		if err == nil || ctx.Err() != nil {
-			pause = retryMillis
+			failed.reset()
 			continue
 		}
 		a.log.Info("Daemon is not announced", "Cause", err.Error(), "Lease", a.lease)
-		sleep(ctx, pause/2+tiller.Millis(rand.Int64N(int64(pause))))
-		pause = min(2*pause, announceRetryMillis)
+		failed.wait(ctx)
 	}
 	if a.lease == 0 {
 		return
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -98,7 +97,7 @@
 
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	pause := tiller.Millis(retryMillis)
+	failed := newBackoff(maxRetryMillis)
 	for ctx.Err() == nil {
 		err := f.follow(ctx)
 		if ctx.Err() != nil {
@@ -106,15 +105,14 @@
 		}
 		f.giveUp()
 		if err == nil {
-			pause = retryMillis
+			failed.reset()
 			if f.direct {
 				sleep(ctx, f.pace.Gather(f.busy))
 			}
 			continue
 		}
 		f.lose(err)
-		sleep(ctx, pause/2+tiller.Millis(rand.Int64N(int64(pause))))
-		pause = min(2*pause, maxRetryMillis)
+		failed.wait(ctx)
 	}
 }
 
--- a/forwarder/confirm_test.go
+++ b/forwarder/confirm_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/forwarder"
 )
 
@@ -34,7 +33,7 @@
 			time.Sleep(20 * time.Millisecond)
 			_, _ = conn.Write([]byte("reply"))
 		}))
-		c := forwarder.New(tiller.SystemClock(), func(http.Header) string { return "" })
+		c := newClient()
 		resp, failure := c.Do(context.Background(), forwarder.Request{
 			Address: strings.TrimPrefix(server.URL, "http://"), Method: "POST", URI: "/", Host: "h",
 			Header: http.Header{}, Body: []byte("sub-query"), Accepted: func(send func()) {
--- a/gatekeeper/fleet_test.go
+++ b/gatekeeper/fleet_test.go
@@ -69,7 +69,7 @@
 	for _, d := range f.daemons {
 		f.waitReady(d)
 	}
-	require.Eventually(t, func() bool { return len(f.store.Keys("fleet/members/")) == len(f.daemons) }, 5*time.Second, 5*time.Millisecond)
+	f.waitAnnounced()
 	return f
 }
 
@@ -140,6 +140,16 @@
 	require.Eventually(f.t, func() bool { return f.ready(d) == http.StatusOK }, 5*time.Second, 5*time.Millisecond)
 }
 
+// waitAnnounced waits until the store holds an entry of each daemon.
+func (f *fleet) waitAnnounced() {
+	require.Eventually(f.t, func() bool { return len(f.store.Keys("fleet/members/")) == len(f.daemons) }, within, 5*time.Millisecond)
+}
+
+// waitServed waits until a daemon serves a path.
+func (f *fleet) waitServed(d *running, path string) {
+	require.Eventually(f.t, func() bool { return f.request(d, "GET", path, nil).status == http.StatusOK }, within, 10*time.Millisecond)
+}
+
 // answer is what a client got.
 type answer struct {
 	status  int
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -26,8 +26,6 @@
 const (
 	// sweepMillis is the time between two looks at idle connections.
 	sweepMillis = 1000
-	// settleMillis is the time in which daemons that start together get to know each other.
-	settleMillis = 3000
 	// defaultIdleMillis is the time for which a client's idle connection is kept before a
 	// configuration names one.
 	defaultIdleMillis = 60 * tiller.Second
@@ -155,7 +153,7 @@
 		close(announced)
 	}()
 	go g.sweep(background)
-	settled := time.AfterFunc(settleMillis*time.Millisecond, func() { g.executor.Step(gatherer.FleetSettled{}) })
+	settled := time.AfterFunc(gatherer.SettleMillis.Duration(), func() { g.executor.Step(gatherer.FleetSettled{}) })
 	defer settled.Stop()
 	select {
 	case err := <-failed:
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -149,7 +149,7 @@
 func TestLostEntryIsWrittenAgain(t *testing.T) {
 	f := newFleet(t)
 	f.store.Remove("fleet/members/vm-east-a")
-	require.Eventually(t, func() bool { return len(f.store.Keys("fleet/members/")) == 3 }, within, 10*time.Millisecond)
+	f.waitAnnounced()
 }
 
 // A planned stop answers every request that was read, also those that come until the platform sends
@@ -194,7 +194,7 @@
 		f.daemons = append(f.daemons, f.start("east-a", fmt.Sprintf("vm-east-%d", i)))
 		f.waitReady(f.daemons[len(f.daemons)-1])
 	}
-	require.Eventually(t, func() bool { return len(f.store.Keys("fleet/members/")) == 7 }, within, 10*time.Millisecond)
+	f.waitAnnounced()
 	time.Sleep(time.Second)
 	before := f.store.Calls("kv-watch")
 	time.Sleep(2 * time.Second)
@@ -202,7 +202,7 @@
 	require.LessOrEqual(t, f.store.Calls("kv-watch")-before, 3*3)
 	f.configure(9, "/late/")
 	for _, d := range f.daemons {
-		require.Eventually(t, func() bool { return f.request(d, "GET", "/late/1", nil).status == http.StatusOK }, within, 10*time.Millisecond)
+		f.waitServed(d, "/late/1")
 	}
 }
 
@@ -217,7 +217,7 @@
 	cut := time.Now()
 	f.configure(7, "/late/")
 	for _, d := range daemons {
-		require.Eventually(t, func() bool { return f.request(d, "GET", "/late/1", nil).status == http.StatusOK }, within, 10*time.Millisecond)
+		f.waitServed(d, "/late/1")
 	}
 	time.Sleep(time.Until(cut.Add(4 * time.Second)))
 	// The daemon that watched and its substitute watch once a second. On a busy machine a third one may
@@ -240,7 +240,7 @@
 	for _, d := range daemons {
 		f.waitReady(d)
 	}
-	require.Eventually(f.t, func() bool { return len(f.store.Keys("fleet/members/")) == len(f.daemons) }, within, 10*time.Millisecond)
+	f.waitAnnounced()
 	time.Sleep(1500 * time.Millisecond)
 	return daemons
 }
@@ -259,7 +259,7 @@
 	cut := time.Now()
 	f.configure(7, "/late/")
 	for _, d := range daemons {
-		require.Eventually(t, func() bool { return f.request(d, "GET", "/late/1", nil).status == http.StatusOK }, within, 10*time.Millisecond)
+		f.waitServed(d, "/late/1")
 	}
 	// The time within which the default settings want a change to be in force.
 	require.Less(t, time.Since(cut), 3*time.Second)
@@ -344,12 +344,12 @@
 	d := f.startAt(gate.Listener.Addr().String(), "west-a", "vm-denied")
 	f.daemons = append(f.daemons, d)
 	f.waitReady(d)
-	require.Eventually(t, func() bool { return len(f.store.Keys("fleet/members/")) == 4 }, within, 10*time.Millisecond)
+	f.waitAnnounced()
 	denied.Store(true)
 	f.configure(5, "/late/")
-	require.Eventually(t, func() bool { return f.request(d, "GET", "/late/1", nil).status == http.StatusOK }, within, 20*time.Millisecond)
+	f.waitServed(d, "/late/1")
 	f.configure(6, "/later/")
-	require.Eventually(t, func() bool { return f.request(d, "GET", "/later/1", nil).status == http.StatusOK }, within, 20*time.Millisecond)
+	f.waitServed(d, "/later/1")
 }
 
 // The platform reads the metrics as text, operators' tools as JSON.
--- a/gatherer/choose.go
+++ b/gatherer/choose.go
@@ -52,14 +52,17 @@
 	return farPriorMillis
 }
 
-// cost ranks an upstream for the next request of a shard. Where a first request is lost, a second one
-// mostly follows; where the last one is lost, so is the shard.
-func (s *State) cost(now tiller.Millis, u *upstream, sh *shard) float64 {
-	q := sh.query
-	failure := failureMillis
-	if !q.single() && s.mayFollow(sh) {
-		failure = shardFailureMillis
+// failureCost returns the cost of an upstream that fails every request, for the next one of a shard. Where a
+// first request is lost, a second one mostly follows; where the last one is lost, so is the shard.
+func (s *State) failureCost(sh *shard) float64 {
+	if !sh.query.single() && s.mayFollow(sh) {
+		return shardFailureMillis
 	}
+	return failureMillis
+}
+
+// cost ranks an upstream for a query. failure is the failureCost of the shard.
+func (s *State) cost(now tiller.Millis, u *upstream, q *query, failure float64) float64 {
 	cost := u.stat.Cost(now, s.expected(now, u, q), u.Slots, failure)
 	cost += s.pauses.Remaining(now, &u.stalls)
 	cost *= 1 + noisePart*s.random.Float64()
@@ -105,11 +108,12 @@
 // the cheapest of those, which have all turned the request away. again permits that.
 func (s *State) best(now tiller.Millis, sh *shard, again bool) (near, far candidate) {
 	near.cost, far.cost = math.Inf(1), math.Inf(1)
+	failure := s.failureCost(sh)
 	for _, u := range s.services[sh.service] {
 		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || u.isDown(now) || !s.admitsCold(now, u) {
 			continue
 		}
-		c := candidate{upstream: u, cost: s.cost(now, u, sh)}
+		c := candidate{upstream: u, cost: s.cost(now, u, sh.query, failure)}
 		if !s.hasRoom(now, u, sh.query) {
 			c.full = true
 			c.cost += u.stat.Mean(now, s.expected(now, u, sh.query))
--- a/gatherer/floor_test.go
+++ b/gatherer/floor_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/merger"
 )
 
@@ -56,10 +55,10 @@
 		for _, s := range w.sorted() {
 			if s.Service == shardName(i) {
 				s.records, s.reset = records, 0.03
-				s.pauseEvery, s.pause, s.pausePhase = 3000, 250, tiller.Millis(w.random.IntN(3000))
 			}
 		}
 	}
+	w.pause(3000)
 	w.load(11000, 60, "/q/1")
 	w.run(14000)
 	answers := 0
--- a/gatherer/load_test.go
+++ b/gatherer/load_test.go
@@ -79,9 +79,7 @@
 func TestPausesAreHedged(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 1)
-	for _, s := range w.sorted() {
-		s.pauseEvery, s.pause, s.pausePhase = 6000, 250, tiller.Millis(w.random.IntN(6000))
-	}
+	w.pause(6000)
 	w.load(21000, 90, "/q/1")
 	w.run(24000)
 	require.GreaterOrEqual(t, w.share(inTime), 0.99)
@@ -125,14 +123,8 @@
 func TestDeadDaemonsKeepTheAttempts(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 4)
-	for i := range shards {
-		third := w.servers[fmt.Sprintf("u-%d-0", i)].Upstream
-		third.ID = fmt.Sprintf("u-%d-2", i)
-		w.add(&server{Upstream: third, work: 11, queue: 12})
-	}
-	for _, s := range w.sorted() {
-		s.pauseEvery, s.pause, s.pausePhase = 3000, 250, tiller.Millis(w.random.IntN(3000))
-	}
+	w.addThirds(0)
+	w.pause(3000)
 	w.load(11000, 90, "/q/1")
 	for i := range 6 {
 		w.after(tiller.Millis(3000+1000*i), func() { w.kill(w.daemons[i]) })
@@ -155,14 +147,8 @@
 func TestLateMessagesKeepTheAttempts(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 13)
-	for _, s := range w.sorted() {
-		s.pauseEvery, s.pause, s.pausePhase = 3000, 250, tiller.Millis(w.random.IntN(3000))
-	}
-	for i := range shards {
-		third := w.servers[fmt.Sprintf("u-%d-0", i)].Upstream
-		third.ID = fmt.Sprintf("u-%d-2", i)
-		w.add(&server{Upstream: third, work: 11, queue: 12})
-	}
+	w.pause(3000)
+	w.addThirds(0)
 	for _, d := range w.daemons {
 		d.lag = 200
 	}
@@ -177,12 +163,8 @@
 func TestLastAttemptGoesWhereAnswersCome(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 17)
+	w.addThirds(2)
 	for i := range shards {
-		third := w.servers[fmt.Sprintf("u-%d-0", i)].Upstream
-		third.ID = fmt.Sprintf("u-%d-2", i)
-		third.Region = regions[(i+2)%len(regions)]
-		third.Domain = third.Region + "-a"
-		w.add(&server{Upstream: third, work: 11, queue: 12})
 		w.servers[fmt.Sprintf("u-%d-0", i)].reset = 0.4
 		w.servers[fmt.Sprintf("u-%d-1", i)].reset = 0.4
 	}
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -74,7 +74,7 @@
 		}
 		cost := p.cost
 		if p.peer == nil {
-			cost = s.cost(now, u, sh)
+			cost = s.cost(now, u, q, s.failureCost(sh))
 		} else if u.Region != s.settings.Region {
 			cost += farPenaltyMillis
 		}
--- a/gatherer/warm.go
+++ b/gatherer/warm.go
@@ -1,5 +1,7 @@
 package gatherer
 
+import tiller "github.com/carawaytiller/carawaytiller"
+
 // warmConnections is the number of connections that are opened to a new upstream of the own region.
 const warmConnections = 2
 
@@ -12,15 +14,15 @@
 	s.warmPeers()
 }
 
-// settledNanos is the age of another daemon from which the fleet is taken to have settled: the time after
-// which FleetSettled comes.
-const settledNanos = 3_000_000_000
+// SettleMillis is the time in which daemons that start together get to know each other. FleetSettled is due
+// then, and a fleet with a daemon that is older has settled before.
+const SettleMillis = 3 * tiller.Second
 
 // join opens connections at once in a fleet that has settled before this daemon started. After a restart
 // queries come right away.
 func (s *State) join() {
 	for _, p := range s.peers {
-		if !s.settled && s.settings.Incarnation-p.Incarnation >= settledNanos {
+		if !s.settled && s.settings.Incarnation-p.Incarnation >= SettleMillis.Duration().Nanoseconds() {
 			s.settle()
 		}
 	}
--- a/gatherer/warm_test.go
+++ b/gatherer/warm_test.go
@@ -30,7 +30,7 @@
 
 	var members []cataloger.Member
 	for _, other := range w.daemons {
-		members = append(members, cataloger.Member{VM: other.vm, Address: other.vm, Region: other.region})
+		members = append(members, other.member())
 	}
 	require.Empty(t, warmed(d.state.Step(w.now, gatherer.MembersChanged{Members: members})))
 	members[1].Incarnation = 2
@@ -51,9 +51,9 @@
 		w.configure(2, w.gatherRoute())
 		var members []cataloger.Member
 		for _, other := range w.daemons {
-			members = append(members, cataloger.Member{
-				VM: other.vm, Address: other.vm, Region: other.region, Incarnation: start - age,
-			})
+			m := other.member()
+			m.Incarnation = start - age
+			members = append(members, m)
 		}
 		require.Empty(t, warmed(d.state.Step(w.now, gatherer.MembersChanged{Members: members})))
 		require.Len(t, warmed(d.state.Step(w.now, gatherer.StoreRead{})), want)
--- a/gatherer/world_test.go
+++ b/gatherer/world_test.go
@@ -124,21 +124,44 @@
 	}
 	for i := range shards {
 		for j := range 2 {
-			region := regions[(i+j)%len(regions)]
-			w.add(&server{Upstream: cataloger.Upstream{
-				ID: fmt.Sprintf("u-%d-%d", i, j), Service: shardName(i), Address: "address", Domain: region + "-a", Region: region, Slots: 2,
-			}, work: 11, queue: 12})
+			w.addUpstream(i, j, j)
 		}
 	}
 	w.configure(1, w.gatherRoute())
 	var members []cataloger.Member
 	for _, d := range w.daemons {
-		members = append(members, cataloger.Member{VM: d.vm, Address: d.vm, Region: d.region})
+		members = append(members, d.member())
 	}
 	w.tell(gatherer.MembersChanged{Members: members})
 	return w
 }
 
+func (d *daemon) member() cataloger.Member {
+	return cataloger.Member{VM: d.vm, Address: d.vm, Region: d.region}
+}
+
+// addUpstream adds the jth upstream of a shard, in the region that is offset after the shard's first one.
+func (w *world) addUpstream(shard, j, offset int) {
+	region := regions[(shard+offset)%len(regions)]
+	w.add(&server{Upstream: cataloger.Upstream{
+		ID: fmt.Sprintf("u-%d-%d", shard, j), Service: shardName(shard), Address: "address", Domain: region + "-a", Region: region, Slots: 2,
+	}, work: 11, queue: 12})
+}
+
+// addThirds gives each shard a third upstream, in the region that is offset after that of its first one.
+func (w *world) addThirds(offset int) {
+	for i := range shards {
+		w.addUpstream(i, 2, offset)
+	}
+}
+
+// pause lets each upstream pause for a quarter of a second at a time, at its own times.
+func (w *world) pause(every tiller.Millis) {
+	for _, s := range w.sorted() {
+		s.pauseEvery, s.pause, s.pausePhase = every, 250, tiller.Millis(w.random.IntN(int(every)))
+	}
+}
+
 func shardName(i int) string { return fmt.Sprintf("shard-%d", i) }
 
 func (w *world) gatherRoute() cataloger.Route {
