--- a/cataloger/bounds.go
+++ b/cataloger/bounds.go
@@ -10,4 +10,8 @@
 	// Service.WarmupPerSecond plus ColdSlack, in requests per second.
 	ColdOverage float64
 	ColdSlack   float64
+	// CanaryShare and CanarySlack limit the requests to a new version whose rollout is not decided to
+	// CanaryShare, from 0 to 1, of the service's requests plus CanarySlack.
+	CanaryShare float64
+	CanarySlack float64
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -50,13 +50,15 @@
 	Incoming func(forwarder.Response) gatherer.Answer
 }
 
-// Observer holds callbacks for metrics and logs. They must not block.
+// Observer holds callbacks for metrics and logs, which must not block, and for writes to the store.
 type Observer struct {
 	// Effect is called before each effect is executed, with the executor's lock held.
 	Effect func(gatherer.Effect)
 	// Answer is called after each request to an upstream, successful or not. opened reports whether a
 	// response came over a new connection.
 	Answer func(took tiller.Millis, opened bool)
+	// Publish writes the state of a rollout to the store. It runs in a goroutine of its own.
+	Publish func(e gatherer.PublishRollout, emit func(gatherer.Event))
 }
 
 // Executor owns a gatherer.State and serializes access to it. Its methods may be called concurrently.
@@ -163,6 +165,10 @@
 		go x.client.Warm(gatherRequest(e.Member.Address), 1)
 	case gatherer.Probe:
 		time.AfterFunc(e.After.Duration(), func() { x.probePeer(e.Member) })
+	case gatherer.SendReport:
+		go x.sendReport(e)
+	case gatherer.PublishRollout:
+		go x.observer.Publish(e, x.Step)
 	case gatherer.ConfirmSubQuery:
 		x.confirmSubQuery(e.Attempt)
 	case gatherer.Cancel:
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -169,12 +169,16 @@
 }
 
 // readAll reads all entries. Stale reads are cheap and return an older state; the next watch continues
-// from its revision.
+// from the oldest revision.
 func (f *Follower) readAll(ctx context.Context, stale bool) error {
 	var items []platform.Item
 	var oldest int64
-	for _, prefix := range []string{platform.OperatorsPrefix(), platform.UpstreamPrefix(), platform.MemberPrefix()} {
+	for _, prefix := range []string{platform.OperatorsPrefix(), platform.UpstreamPrefix(), platform.FleetPrefix(), platform.StatusPrefix()} {
 		page, revision, err := f.store.Range(ctx, prefix, stale)
+		if err == nil && stale && len(page) == 0 {
+			// A stale read without items does not tell which revision it reflects.
+			page, revision, err = f.store.Range(ctx, prefix, false)
+		}
 		if err != nil {
 			return err
 		}
@@ -220,6 +224,8 @@
 		f.applyEvacuation(domain, item)
 	} else if vm, ok := platform.MemberVM(item.Key); ok {
 		f.applyMember(vm, item)
+	} else if f.applyRolloutKey(item) {
+		return
 	} else if platform.IsConfiguration(item.Key) && !item.Deleted {
 		f.applyConfiguration(item)
 	}
--- a/gatekeeper/fleet_test.go
+++ b/gatekeeper/fleet_test.go
@@ -116,7 +116,7 @@
 		VM: vm, Domain: domain, Region: domains[domain], Regions: domains,
 		FrontAddress: freeAddress(f.t), ReadyAddress: freeAddress(f.t), ControlAddress: freeAddress(f.t),
 		StoreAddress: store, Power: 400, StopWithin: 4000,
-		Bounds: cataloger.Bounds{RetryRatio: 0.2, RetrySlack: 56, ColdOverage: 1.5, ColdSlack: 5},
+		Bounds: cataloger.Bounds{RetryRatio: 0.2, RetrySlack: 56, ColdOverage: 1.5, ColdSlack: 5, CanaryShare: 0.1, CanarySlack: 50},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &testDaemon{settings: s, stop: cancel, exited: make(chan error, 1)}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -65,12 +65,13 @@
 		Incarnation: incarnation, Seed: xxhash.Sum64String(s.VM) + uint64(incarnation),
 	})
 	codec := executor.Codec{Outgoing: platform.SetAttemptHeaders, Incoming: decodeAnswer}
-	hooks := executor.Observer{Effect: g.observer.recordEffect, Answer: g.observer.countAttempt}
+	store := platform.NewStore(s.StoreAddress)
+	publisher := follower.NewPublisher(store, log)
+	hooks := executor.Observer{Effect: g.observer.recordEffect, Answer: g.observer.countAttempt, Publish: publisher.Publish}
 	g.executor = executor.New(clock, g.client, codec, hooks, state)
 	g.receiver = receiver.New(g.executor, receiver.Codec{
 		RequestID: platform.RequestID, Deadline: platform.RequestTimeout, SetGathered: platform.SetGatheredHeaders,
 	}, g.limits, g.observer.recordRejection)
-	store := platform.NewStore(s.StoreAddress)
 	self := cataloger.Member{
 		VM: s.VM, Address: g.peerAddress(), Domain: s.Domain, Region: s.Region, Power: s.Power, Incarnation: incarnation,
 	}
@@ -184,6 +185,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+executor.GatherPath, g.receiver.ServeSubQuery)
 	mux.HandleFunc("GET "+executor.ProbePath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("POST "+executor.ReportPath, g.receiver.ServeReport)
 	mux.HandleFunc("GET "+follower.ChangesPath, g.follower.ServeChanges)
 	mux.HandleFunc("GET /v1/status", g.serveStatus)
 	g.observer.addMetricsHandlers(mux)
--- a/gatekeeper/observer.go
+++ b/gatekeeper/observer.go
@@ -57,6 +57,15 @@
 // recordEffect counts retries, and counts and logs the ends of queries.
 func (o *observer) recordEffect(e gatherer.Effect) {
 	switch e := e.(type) {
+	case gatherer.RolloutChanged:
+		o.count("Rollout." + e.State.String())
+		o.log.Info("Rollout changed", "Service", e.Rollout.Service, "Target", e.Rollout.Target, "Order", e.Rollout.Revision,
+			"State", e.State.String(), "Cause", e.Cause, "Age", e.Age, "Reporters", e.Reporters, "Evidence", e.Evidence,
+			"Fault", e.Fault, "Sent", e.Sent)
+	case gatherer.PublishRollout:
+		o.count("Rollout.Published")
+	case gatherer.SendReport:
+		o.count("Rollout.Reports")
 	case gatherer.Retried:
 		o.count("Retried." + string(e.Reason))
 	case gatherer.ReplyPassthrough:
--- a/gatherer/arrive.go
+++ b/gatherer/arrive.go
@@ -115,7 +115,7 @@
 // isServable reports whether any upstream may take a shard.
 func (s *State) isServable(now tiller.Millis, sh *shard) bool {
 	for _, u := range s.upstreamsByService[sh.service] {
-		if s.isUsable(u, sh.query.route) && !u.isUnreachable(now) && s.admitsCold(now, u) {
+		if s.isUsable(u, sh.query.route) && s.allowsVersion(now, u, s.wantsCanary(now, sh)) && !u.isUnreachable(now) && s.admitsCold(now, u) {
 			return true
 		}
 	}
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -15,6 +15,7 @@
 	}
 	delete(s.attempts, e.Attempt)
 	s.recordOutcome(now, a, e)
+	s.recordVersion(now, a, e)
 	sh := a.shards[0]
 	sh.outstanding--
 	defer s.sendQueued(now, sh.service)
--- a/gatherer/choose.go
+++ b/gatherer/choose.go
@@ -117,7 +117,7 @@
 	near.cost, far.cost = math.Inf(1), math.Inf(1)
 	failure := s.failureCost(sh)
 	for _, u := range s.upstreamsByService[sh.service] {
-		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || u.isUnreachable(now) || !s.admitsCold(now, u) {
+		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || !s.allowsVersion(now, u, sh.canary) || sh.canary && !s.admitsCanary(now, u) || u.isUnreachable(now) || !s.admitsCold(now, u) {
 			continue
 		}
 		c := candidate{upstream: u, cost: s.cost(now, u, sh.query, failure)}
@@ -149,6 +149,14 @@
 // outstanding. The upstream may be full: waiting for it is better than using another one whose cost is higher
 // by more than the wait.
 func (s *State) chooseUpstream(now tiller.Millis, sh *shard) candidate {
+	if s.wantsCanary(now, sh) {
+		sh.canary = true
+		c := cheaper(s.cheapestByRegion(now, sh, false))
+		sh.canary = false
+		if c.upstream != nil && !c.full {
+			return c
+		}
+	}
 	c := cheaper(s.cheapestByRegion(now, sh, false))
 	if c.upstream == nil && len(sh.tried) > 0 && sh.outstanding == 0 {
 		c = cheaper(s.cheapestByRegion(now, sh, true))
--- a/gatherer/fake_upstream_test.go
+++ b/gatherer/fake_upstream_test.go
@@ -22,7 +22,13 @@
 	// shedRate is the probability that a request is rejected.
 	shedRate float64
 	// resetRate is the probability that the connection is lost after a request has run.
-	resetRate    float64
+	resetRate float64
+	// badRate is the probability of a bad answer: a failure, or an answer after slowFactor times the service
+	// time if that is above 0. badFrom is the time from which answers may be bad.
+	badRate      float64
+	slowFactor   tiller.Millis
+	badFrom      tiller.Millis
+	badAnswers   []tiller.Millis
 	requestTimes []tiller.Millis
 	// records are the shard's records. Empty stands for two records of zero bytes.
 	records []byte
@@ -39,6 +45,7 @@
 type job struct {
 	ended    bool
 	started  bool
+	bad      bool
 	complete func(waiting int)
 }
 
@@ -58,7 +65,15 @@
 	a.ran = true
 	sim.arrivals[s.Service] = append(sim.arrivals[s.Service], a)
 	reset := sim.random.Float64() < s.resetRate
-	j := &job{complete: func(waiting int) {
+	bad := s.badRate > 0 && sim.now >= s.badFrom && sim.random.Float64() < s.badRate
+	j := &job{bad: bad, complete: func(waiting int) {
+		if bad {
+			s.badAnswers = append(s.badAnswers, sim.now)
+		}
+		if bad && s.slowFactor == 0 {
+			answer(gatherer.AttemptEnded{Answer: gatherer.Answer{Status: 500, Stamp: id + s.ID, Waiting: waiting}})
+			return
+		}
 		if reset {
 			answer(gatherer.AttemptEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, nil)})
 			return
@@ -85,6 +100,9 @@
 		s.running++
 		j.started = true
 		took := s.serviceTime
+		if j.bad && s.slowFactor > 0 {
+			took *= s.slowFactor
+		}
 		if s.pauseInterval > 0 {
 			if phase := (sim.now + s.pausePhase) % s.pauseInterval; phase < s.pauseLength {
 				took += s.pauseLength - phase
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -62,7 +62,7 @@
 	q := sh.query
 	best := rankedPeer{cost: math.Inf(1)}
 	for _, u := range s.upstreamsByService[sh.service] {
-		if !s.isUsable(u, q.route) || u.isUnreachable(now) || now < u.cold.until {
+		if !s.isUsable(u, q.route) || !s.allowsVersion(now, u, false) || u.isUnreachable(now) || now < u.cold.until {
 			continue
 		}
 		key := groupKey{u.Domain, groupOf(sh.service, q.groups)}
@@ -169,6 +169,7 @@
 	sh.arrivals++
 	q.sent++
 	u.stat.Sent(now, a.id)
+	s.countRequest(u, q.route.Name)
 	if now < u.cold.until {
 		u.cold.tokens--
 	}
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -81,6 +81,8 @@
 	lastAttempt *attempt
 	// queued is true while the shard waits for capacity at an upstream.
 	queued bool
+	// canary is true while an upstream of the new version of a rollout is chosen for the shard.
+	canary bool
 	// budgeted is true once the shard's first request was credited to the retry budget of this daemon or of
 	// another one.
 	budgeted bool
--- /dev/null
+++ b/gatherer/report.go
@@ -0,0 +1,251 @@
+package gatherer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/cataloger"
+	"github.com/carawaytiller/carawaytiller/mover"
+)
+
+const (
+	// reportMillis is the interval between two reports of a daemon during a rollout.
+	reportMillis = 400
+	// reportExclusionMillis is the time for which a daemon that did not answer a report gets none.
+	reportExclusionMillis = 2 * tiller.Second
+	// collectorsPerRegion is the number of daemons of each region that get the reports of all daemons.
+	collectorsPerRegion = 1
+	// publishRetryMillis is the interval between attempts to publish a result, publishDelayMillis the time that
+	// each further daemon leaves to the one before.
+	publishRetryMillis = 1000
+	publishDelayMillis = 400
+	maxPublishRank     = 4
+)
+
+// Report is what one daemon tells another during a rollout. It is also the reply to a report.
+type Report struct {
+	_           struct{} `cbor:",toarray"`
+	VM          string
+	Incarnation int64
+	Rollouts    []RolloutReport
+}
+
+// RolloutReport is one daemon's view of a rollout.
+type RolloutReport struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	Revision int64
+	State    cataloger.RolloutState
+	// Age is the time since the first daemon learnt of the order; -1 if it is not known.
+	Age tiller.Millis
+	// Observed holds what the daemon itself saw.
+	Observed mover.Observations
+}
+
+// SendReport sends a report to another daemon. Its reply, or the failure, comes back as ReportReceived or
+// ReportLost.
+type SendReport struct {
+	Member cataloger.Member
+	Report Report
+}
+
+// ReportReceived carries the report of another daemon, or its reply to a report.
+type ReportReceived struct{ Report Report }
+
+// ReportLost reports that a daemon did not answer a report.
+type ReportLost struct{ VM string }
+
+func (SendReport) effect()    {}
+func (ReportReceived) event() {}
+func (ReportLost) event()     {}
+
+// scheduleReport makes the next report due at a time, unless one is due before.
+func (s *State) scheduleReport(at tiller.Millis) {
+	if s.reportAt == 0 || at < s.reportAt {
+		s.reportAt = at
+	}
+}
+
+// reportRollouts decides the rollouts, sends a report to the collectors while one is in progress, and publishes
+// the results that are not in the store yet.
+func (s *State) reportRollouts(now tiller.Millis) {
+	if s.reportAt == 0 || now < s.reportAt {
+		return
+	}
+	s.reportAt = 0
+	running, announce := false, false
+	for _, r := range s.sortedRollouts() {
+		s.judgeRollout(now, r)
+		s.publishRollout(now, r)
+		running = running || !r.state.IsFinal()
+		announce = announce || r.unannounced
+		r.unannounced = false
+	}
+	var recipients []*peer
+	switch {
+	case announce:
+		recipients = s.sortedPeers()
+	case running:
+		recipients = s.collectors(now)
+	}
+	for _, p := range recipients {
+		s.emit(SendReport{Member: p.Member, Report: s.Report(now)})
+	}
+	if running {
+		s.scheduleReport(now + reportMillis)
+	}
+	for _, r := range s.rollouts {
+		if r.needsPublishing() {
+			s.scheduleReport(max(r.publishAt, now+1))
+		}
+		if next, ok := r.nextDecision(now, s.decisionDelay(r)); ok {
+			s.scheduleReport(next)
+		}
+	}
+}
+
+// nextDecision returns the next time of the plan at which a rollout may be decided.
+func (r *rollout) nextDecision(now, delay tiller.Millis) (tiller.Millis, bool) {
+	if r.state.IsFinal() || !r.dated {
+		return 0, false
+	}
+	for _, at := range []tiller.Millis{r.plan.SwitchAt, r.plan.CompleteAt, r.plan.GiveUpAt} {
+		if at += r.startedAt + delay; at > now {
+			return at, true
+		}
+	}
+	return 0, false
+}
+
+// needsPublishing reports whether the store lacks the state of a rollout.
+func (r *rollout) needsPublishing() bool {
+	if r.Revision == 0 {
+		return false
+	}
+	if r.state.IsFinal() {
+		return !r.isPublished(r.state)
+	}
+	return r.published.Revision <= r.Revision
+}
+
+// publishRollout publishes the state of a rollout if the store lacks it. Daemons try one after the other.
+func (s *State) publishRollout(now tiller.Millis, r *rollout) {
+	if !r.needsPublishing() {
+		return
+	}
+	since := r.startedAt
+	if r.state.IsFinal() {
+		since = r.decidedAt
+	}
+	turn := since + publishDelayMillis*tiller.Millis(min(s.rankFor(r.Service), maxPublishRank))
+	if r.publishAt = max(r.publishAt, turn); now < r.publishAt {
+		return
+	}
+	r.publishAt = now + publishRetryMillis
+	state := r.state
+	if !state.IsFinal() {
+		state = cataloger.RolloutRunning
+	}
+	s.emit(PublishRollout{
+		Status: cataloger.RolloutStatus{Service: r.Service, Target: r.Target, State: state, Revision: r.published.Revision},
+		Order:  r.Revision, Age: now - r.startedAt,
+	})
+}
+
+// Report returns this daemon's view of all rollouts.
+func (s *State) Report(now tiller.Millis) Report {
+	report := Report{VM: s.settings.VM, Incarnation: s.settings.Incarnation}
+	for _, r := range s.sortedRollouts() {
+		if r.Revision == 0 {
+			continue
+		}
+		age := tiller.Millis(-1)
+		if r.dated {
+			age = now - r.startedAt
+		}
+		report.Rollouts = append(report.Rollouts, RolloutReport{
+			Service: r.Service, Revision: r.Revision, State: r.state, Age: age, Observed: maps.Clone(r.observed),
+		})
+	}
+	return report
+}
+
+// receiveReport adds the evidence of another daemon and adopts its decisions.
+func (s *State) receiveReport(now tiller.Millis, report Report) {
+	if report.VM == s.settings.VM {
+		return
+	}
+	for _, theirs := range report.Rollouts {
+		r := s.rollouts[theirs.Service]
+		if r == nil || r.Revision != theirs.Revision {
+			continue
+		}
+		r.adoptAge(now, theirs.Age)
+		r.contactAt = now
+		r.reports[report.VM] = now
+		r.comparison.Update(processOf(report.VM, report.Incarnation), theirs.Observed)
+		if !r.state.IsFinal() && theirs.State > r.state {
+			s.setRolloutState(now, r, theirs.State, "Daemon "+report.VM)
+		}
+		if r.comparison.Fault().Cause != mover.NoFault {
+			s.scheduleReport(now)
+		}
+	}
+	s.reportRollouts(now)
+}
+
+// loseReport excludes a daemon that did not answer a report.
+func (s *State) loseReport(now tiller.Millis, vm string) {
+	if p := s.peers[vm]; p != nil {
+		p.reportsFrom = now + reportExclusionMillis
+	}
+}
+
+// collectors returns the daemons that get this daemon's reports: in each region those that rank first among
+// the ones that answer.
+func (s *State) collectors(now tiller.Millis) []*peer {
+	var chosen []*peer
+	for _, region := range s.sortedRegions() {
+		peers := slices.Clone(s.peersByRegion[region])
+		slices.SortFunc(peers, func(a, b *peer) int {
+			return cmp.Compare(rendezvousWeight(b.VM, "collector"), rendezvousWeight(a.VM, "collector"))
+		})
+		n := 0
+		for _, p := range peers {
+			if n < collectorsPerRegion && now >= p.reportsFrom {
+				chosen = append(chosen, p)
+				n++
+			}
+		}
+	}
+	return chosen
+}
+
+func (s *State) sortedRegions() []string {
+	regions := make([]string, 0, len(s.peersByRegion))
+	for region := range s.peersByRegion {
+		regions = append(regions, region)
+	}
+	slices.Sort(regions)
+	return regions
+}
+
+func (s *State) sortedPeers() []*peer {
+	peers := make([]*peer, 0, len(s.peers))
+	for _, p := range s.peers {
+		peers = append(peers, p)
+	}
+	slices.SortFunc(peers, func(a, b *peer) int { return cmp.Compare(a.VM, b.VM) })
+	return peers
+}
+
+func (s *State) sortedRollouts() []*rollout {
+	rollouts := make([]*rollout, 0, len(s.rollouts))
+	for _, r := range s.rollouts {
+		rollouts = append(rollouts, r)
+	}
+	slices.SortFunc(rollouts, func(a, b *rollout) int { return cmp.Compare(a.Service, b.Service) })
+	return rollouts
+}
--- a/gatherer/simulation_test.go
+++ b/gatherer/simulation_test.go
@@ -20,6 +20,9 @@
 	budgetWindowMillis = 10000
 	coldOverage        = 1.5
 	coldSlack          = 5.0
+	canaryShare        = 0.1
+	canarySlack        = 50.0
+	rollbackMillis     = 5000
 )
 
 // simulation runs a fleet of daemons and their upstreams in virtual time.
@@ -37,6 +40,9 @@
 	arrivals  map[string][]arrival
 	// extraReplies are the replies to sub-queries for shards to which a request was already sent.
 	extraReplies []gatherer.SubReply
+	store        rolloutStore
+	// rolloutLog holds the decisions of all daemons on rollouts.
+	rolloutLog []string
 }
 
 // daemon is a State with its outstanding attempts and sub-queries.
@@ -51,6 +57,10 @@
 	// resetInbound fails the sub-queries received from other daemons, as a lost connection does.
 	resetInbound []func()
 	crashed      bool
+	// frozenUntil is the time until which events to the daemon wait.
+	frozenUntil tiller.Millis
+	// cutFromStore and cutFromPeers are true while the daemon cannot reach the store or the other daemons.
+	cutFromStore, cutFromPeers bool
 	// maxExtraDelay is the upper bound of the random extra delay of messages between this daemon and others.
 	maxExtraDelay tiller.Millis
 }
@@ -118,10 +128,7 @@
 			pending: make(map[uint64]*pendingAttempt), replyTo: make(map[uint64]func(gatherer.SubReply)),
 			clientIDs: make(map[uint64]string),
 		}
-		d.state = gatherer.New(gatherer.Settings{
-			VM: d.vm, Region: d.region, Seed: seed + uint64(i),
-			Bounds: cataloger.Bounds{RetryRatio: retryRatio, RetrySlack: retrySlack, ColdOverage: coldOverage, ColdSlack: coldSlack},
-		})
+		d.state = gatherer.New(daemonSettings(d, seed+uint64(i)))
 		sim.daemons = append(sim.daemons, d)
 	}
 	for i := range shardCount {
@@ -138,6 +145,16 @@
 	return sim
 }
 
+func daemonSettings(d *daemon, seed uint64) gatherer.Settings {
+	return gatherer.Settings{
+		VM: d.vm, Region: d.region, Seed: seed,
+		Bounds: cataloger.Bounds{
+			RetryRatio: retryRatio, RetrySlack: retrySlack, ColdOverage: coldOverage, ColdSlack: coldSlack,
+			CanaryShare: canaryShare, CanarySlack: canarySlack,
+		},
+	}
+}
+
 func (d *daemon) member() cataloger.Member {
 	return cataloger.Member{VM: d.vm, Address: d.vm, Region: d.region}
 }
@@ -228,6 +245,10 @@
 	if d.crashed {
 		return
 	}
+	if sim.now < d.frozenUntil {
+		sim.schedule(d.frozenUntil-sim.now, func() { sim.step(d, e) })
+		return
+	}
 	for _, effect := range d.state.Step(sim.now, e) {
 		sim.execute(d, effect)
 	}
@@ -269,6 +290,12 @@
 			}
 			sim.step(d, gatherer.PeerProbed{Member: e.Member, Reached: reached})
 		})
+	case gatherer.SendReport:
+		sim.sendReport(d, e)
+	case gatherer.RolloutChanged:
+		sim.rolloutLog = append(sim.rolloutLog, fmt.Sprintf("%d %s %s by %s %+v %+v", sim.now, d.vm, e.State, e.Cause, e.Evidence, e.Fault))
+	case gatherer.PublishRollout:
+		sim.publishRollout(d, e)
 	case gatherer.ReplyGathered:
 		sim.recordOutcome(e.ID, func(o *outcome) {
 			o.parts, o.missing, o.stamps, o.records = len(e.Stamps), e.Missing, e.Stamps, e.Records
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -61,9 +61,13 @@
 	missRates map[string]missRate
 	// queuedShards holds, by service, the shards that wait for capacity at an upstream.
 	queuedShards map[string][]*shard
-	latencies    map[latencyKey]*hedger.Latency
-	pauses       *balancer.PausePredictor
-	effects      []Effect
+	// rollouts holds the moves to new versions by service. reportAt is the time of the next report about them;
+	// 0 if none is due.
+	rollouts  map[string]*rollout
+	reportAt  tiller.Millis
+	latencies map[latencyKey]*hedger.Latency
+	pauses    *balancer.PausePredictor
+	effects   []Effect
 }
 
 // upstream is a known upstream and its measured state.
@@ -75,6 +79,8 @@
 	reachability reachability
 	// misdirected is true if another process answered at the upstream's address.
 	misdirected bool
+	// heldUntil is the time until which the upstream's version waits for an order to roll it out.
+	heldUntil tiller.Millis
 }
 
 // peer is another daemon and its measured state.
@@ -91,6 +97,8 @@
 	// rejectsUntil is the time until which the daemon gets no sub-queries, because it rejected one, for example
 	// for a shard that it does not know.
 	rejectsUntil tiller.Millis
+	// reportsFrom is the time from which the daemon gets reports again, because it did not answer one.
+	reportsFrom tiller.Millis
 }
 
 // New returns a State without a configuration, upstreams or other daemons.
@@ -110,6 +118,7 @@
 		commonDeadlines:    make(map[string]*commonDeadline),
 		missRates:          make(map[string]missRate),
 		queuedShards:       make(map[string][]*shard),
+		rollouts:           make(map[string]*rollout),
 		latencies:          make(map[latencyKey]*hedger.Latency),
 		pauses:             balancer.NewPausePredictor(),
 	}
@@ -155,8 +164,21 @@
 		s.updateBounds(e.Bounds)
 	case DomainEvacuated:
 		s.evacuate(e)
+	case RolloutOrdered:
+		s.orderRollout(now, e)
+	case RolloutEnded:
+		s.endRollout(e.Service)
+	case RolloutDated:
+		s.dateRollout(now, e)
+	case RolloutPublished:
+		s.publishedRollout(now, e.Status)
+	case ReportReceived:
+		s.receiveReport(now, e.Report)
+	case ReportLost:
+		s.loseReport(now, e.VM)
 	case TimerFired:
 		s.fireTimers(now)
+		s.reportRollouts(now)
 	}
 	return s.effects
 }
@@ -195,6 +217,9 @@
 	if ok && current.Service == u.Service && current.Address == u.Address && current.Incarnation == u.Incarnation {
 		current.misdirected = current.misdirected && current.Upstream.Equal(u)
 		current.cold.until = coldUntil(now, current.cold.until, current.Cold, u.Cold)
+		if current.Version != u.Version {
+			s.holdVersion(now, current)
+		}
 		current.Upstream = u
 		return
 	}
@@ -203,6 +228,7 @@
 	}
 	added := &upstream{Upstream: u, stat: balancer.New()}
 	added.cold.until = coldUntil(now, 0, 0, u.Cold)
+	s.holdVersion(now, added)
 	s.upstreams[u.ID] = added
 	s.upstreamsByService[u.Service] = append(s.upstreamsByService[u.Service], added)
 	if s.settled {
--- a/gatherer/timer.go
+++ b/gatherer/timer.go
@@ -30,8 +30,11 @@
 
 // NextTimer returns the time at which TimerFired is due, and false if no timer is set.
 func (s *State) NextTimer() (tiller.Millis, bool) {
-	if len(s.timers) == 0 {
-		return 0, false
+	switch {
+	case len(s.timers) == 0:
+		return s.reportAt, s.reportAt > 0
+	case s.reportAt > 0:
+		return min(s.timers[0].at, s.reportAt), true
 	}
 	return s.timers[0].at, true
 }
