--- a/executor/executor.go
+++ b/executor/executor.go
@@ -46,6 +46,8 @@
 type Codec struct {
 	// Outgoing sets the headers that an upstream expects. remaining is the time until the attempt times out.
 	Outgoing func(h http.Header, remaining tiller.Millis, upstreamID string)
+	// PerAttempt reports whether a header differs between the attempts of one request.
+	PerAttempt func(name string) bool
 	// Incoming decodes an upstream response.
 	Incoming func(forwarder.Response) gatherer.Answer
 }
@@ -94,7 +96,7 @@
 // Submit starts a client query. It sets the Query and ID of e.
 func (x *Executor) Submit(r Request, e gatherer.QueryArrived) *QueryHandle {
 	return x.submit(r, func(id uint64) gatherer.Event {
-		e.Query, e.ID = id, r.ID
+		e.Query, e.ID, e.Digest = id, r.ID, x.digest(r)
 		return e
 	})
 }
@@ -102,7 +104,7 @@
 // SubmitSub starts a sub-query received from another daemon. It sets the Query and ID of e.
 func (x *Executor) SubmitSub(r Request, e gatherer.SubQueryArrived) *QueryHandle {
 	return x.submit(r, func(id uint64) gatherer.Event {
-		e.Query, e.ID = id, r.ID
+		e.Query, e.ID, e.Digest = id, r.ID, x.digest(r)
 		return e
 	})
 }
@@ -165,6 +167,8 @@
 		go x.client.Warm(gatherRequest(e.Member.Address), 1)
 	case gatherer.Probe:
 		time.AfterFunc(e.After.Duration(), func() { x.probePeer(e.Member) })
+	case gatherer.ProbeUpstream:
+		go x.probeUpstream(e)
 	case gatherer.SendReport:
 		go x.sendReport(e)
 	case gatherer.PublishRollout:
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -146,6 +146,16 @@
 	}
 }
 
+// Reach opens a connection for later requests with the Address and Key of r, and reports whether it succeeded.
+func (c *Client) Reach(ctx context.Context, r Request) bool {
+	conn, failure := c.open(ctx, r)
+	if failure != nil {
+		return false
+	}
+	c.putIdle(r, conn, nil)
+	return true
+}
+
 // contextReason maps the error of an ended context to a reason.
 func contextReason(err error) tiller.Reason {
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -64,7 +64,7 @@
 		VM: s.VM, Domain: s.Domain, Region: s.Region, Power: s.Power, Bounds: s.Bounds,
 		Incarnation: incarnation, Seed: xxhash.Sum64String(s.VM) + uint64(incarnation),
 	})
-	codec := executor.Codec{Outgoing: platform.SetAttemptHeaders, Incoming: decodeAnswer}
+	codec := executor.Codec{Outgoing: platform.SetAttemptHeaders, PerAttempt: platform.IsPerAttempt, Incoming: decodeAnswer}
 	store := platform.NewStore(s.StoreAddress)
 	publisher := follower.NewPublisher(store, log)
 	hooks := executor.Observer{Effect: g.observer.recordEffect, Answer: g.observer.countAttempt, Publish: publisher.Publish}
--- a/gatekeeper/observer.go
+++ b/gatekeeper/observer.go
@@ -62,6 +62,14 @@
 		o.log.Info("Rollout changed", "Service", e.Rollout.Service, "Target", e.Rollout.Target, "Order", e.Rollout.Revision,
 			"State", e.State.String(), "Cause", e.Cause, "Age", e.Age, "Reporters", e.Reporters, "Evidence", e.Evidence,
 			"Fault", e.Fault, "Sent", e.Sent)
+	case gatherer.RequestSuspected:
+		o.count("Suspect.Losses")
+		if e.Blocked {
+			o.count("Suspect.Blocked")
+		}
+		o.log.Info("Upstream crashed under a request", "Digest", e.Digest, "Upstreams", e.Upstreams, "Blocked", e.Blocked)
+	case gatherer.ProbeUpstream:
+		o.count("Upstream.Probes")
 	case gatherer.PublishRollout:
 		o.count("Rollout.Published")
 	case gatherer.SendReport:
--- a/gatherer/arrive.go
+++ b/gatherer/arrive.go
@@ -19,7 +19,11 @@
 		s.refuseNew(e, tiller.ReasonUnknownRoute, 0)
 		return
 	}
-	q := &query{id: e.Query, clientID: e.ID, rank: rankOf(e.ID), route: route, version: s.configuration.Version, arrived: now}
+	if s.harmful.Blocked(now, e.Digest) {
+		s.refuseNew(e, tiller.ReasonHarmful, 0)
+		return
+	}
+	q := &query{id: e.Query, clientID: e.ID, digest: e.Digest, rank: rankOf(e.ID), route: route, version: s.configuration.Version, arrived: now}
 	s.setTimes(q, e)
 	if route.IsSharded() {
 		q.topK = route.TopK
@@ -57,7 +61,7 @@
 		return
 	}
 	q := &query{
-		id: e.Query, clientID: e.ID, rank: rankOf(e.ID), version: s.Version(), isSubQuery: true, unconfirmed: true, extra: e.Extra, arrived: now,
+		id: e.Query, clientID: e.ID, digest: e.Digest, rank: rankOf(e.ID), version: s.Version(), isSubQuery: true, unconfirmed: true, extra: e.Extra, arrived: now,
 		answerBy: now + max(e.Target, 1), expiresAt: now + max(e.Target, e.Timeout, 1),
 		topK: e.TopK, askerThreshold: e.Threshold, groups: e.Groups, needed: max(len(e.Shards)-e.AllowedMissing, 0),
 	}
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -16,6 +16,7 @@
 	delete(s.attempts, e.Attempt)
 	s.recordOutcome(now, a, e)
 	s.recordVersion(now, a, e)
+	s.recordLoss(now, a, e)
 	sh := a.shards[0]
 	sh.outstanding--
 	defer s.sendQueued(now, sh.service)
@@ -97,6 +98,7 @@
 	}
 	sh.status = shardAnswered
 	q.answered++
+	s.recordSuccess(now, q)
 	if q.isSingle() {
 		s.replyPassthrough(now, q, a.id)
 		return
@@ -129,6 +131,9 @@
 		s.replyPassthrough(now, q, a.id)
 		return
 	}
+	if s.harmful.Blocked(now, q.digest) {
+		reason = tiller.ReasonHarmful
+	}
 	sh.fail(reason)
 	s.evaluate(now, q)
 }
@@ -140,9 +145,17 @@
 		sh.checkAt = now + confirmPauseMillis
 		return true
 	}
+	if s.harmful.Blocked(now, sh.query.digest) {
+		sh.reason = tiller.ReasonHarmful
+		return false
+	}
 	if !sh.maySend() || now >= sh.query.expiresAt-minUsefulMillis {
 		return false
 	}
+	if s.isSuspicious(sh.query) {
+		sh.checkAt = now + confirmPauseMillis
+		return true
+	}
 	if sh.arrivals > 0 && !s.budget(sh.service).Allows(1) {
 		sh.reason = tiller.ReasonRetryBudget
 		return false
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -13,9 +13,11 @@
 	// Query identifies the request within the process.
 	Query uint64
 	// ID is the client's request identifier.
-	ID   string
-	Host string
-	Path string
+	ID string
+	// Digest is the same for all attempts of a request, and differs between requests.
+	Digest uint64
+	Host   string
+	Path   string
 	// Deadline is the time that the client waits for an answer, or 0 if it sent no deadline.
 	Deadline tiller.Millis
 	// NewConnection is true if the request is the first on its connection.
@@ -27,6 +29,8 @@
 	Query uint64
 	// ID is the client's request identifier.
 	ID string
+	// Digest is the one of the client's request.
+	Digest uint64
 	SubQuery
 }
 
--- a/gatherer/fake_upstream_test.go
+++ b/gatherer/fake_upstream_test.go
@@ -14,6 +14,8 @@
 	queueLimit  int
 	running     int
 	waiting     []*job
+	// jobs holds all requests that were accepted since the last crash.
+	jobs []*job
 	// Every pauseInterval, shifted by pausePhase, the upstream pauses for pauseLength. 0 means no pauses.
 	pauseInterval tiller.Millis
 	pausePhase    tiller.Millis
@@ -25,9 +27,12 @@
 	resetRate float64
 	// badRate is the probability of a bad answer: a failure, or an answer after slowFactor times the service
 	// time if that is above 0. badFrom is the time from which answers may be bad.
-	badRate      float64
-	slowFactor   tiller.Millis
-	badFrom      tiller.Millis
+	badRate    float64
+	slowFactor tiller.Millis
+	badFrom    tiller.Millis
+	// downUntil is the time until which the upstream refuses connections after a crash.
+	downUntil    tiller.Millis
+	crashes      []tiller.Millis
 	badAnswers   []tiller.Millis
 	requestTimes []tiller.Millis
 	// records are the shard's records. Empty stands for two records of zero bytes.
@@ -47,6 +52,8 @@
 	started  bool
 	bad      bool
 	complete func(waiting int)
+	// lose ends the request when its upstream crashes.
+	lose func()
 }
 
 // serve delivers a request to an upstream. A silent upstream never calls answer. The returned function
@@ -63,6 +70,10 @@
 		return func() {}
 	}
 	a.ran = true
+	if sim.crashing[id] {
+		sim.arrivals[s.Service] = append(sim.arrivals[s.Service], a)
+		return sim.crashUpstream(s, answer)
+	}
 	sim.arrivals[s.Service] = append(sim.arrivals[s.Service], a)
 	reset := sim.random.Float64() < s.resetRate
 	bad := s.badRate > 0 && sim.now >= s.badFrom && sim.random.Float64() < s.badRate
@@ -75,12 +86,14 @@
 			return
 		}
 		if reset {
-			answer(gatherer.AttemptEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, nil)})
+			answer(connectionLost())
 			return
 		}
 		answer(gatherer.AttemptEnded{Answer: gatherer.Answer{Status: 200, Stamp: id + s.ID, Body: s.body(), Waiting: waiting}})
 	}}
+	j.lose = func() { answer(connectionLost()) }
 	s.waiting = append(s.waiting, j)
+	s.jobs = append(s.jobs, j)
 	sim.startJobs(s)
 	return func() {
 		if !j.ended {
@@ -89,6 +102,10 @@
 	}
 }
 
+func connectionLost() gatherer.AttemptEnded {
+	return gatherer.AttemptEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, nil)}
+}
+
 // startJobs starts queued requests while slots are free.
 func (sim *simulation) startJobs(s *fakeUpstream) {
 	for s.running < s.Slots && len(s.waiting) > 0 {
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -115,6 +115,10 @@
 
 // sendFirst sends the first request of a shard, queues the shard, or marks it as failed if it has no upstream.
 func (s *State) sendFirst(now tiller.Millis, sh *shard) {
+	if s.harmful.Blocked(now, sh.query.digest) {
+		sh.fail(tiller.ReasonHarmful)
+		return
+	}
 	u, waits := s.chooseOrQueue(now, sh)
 	switch {
 	case waits:
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -11,6 +11,7 @@
 type query struct {
 	id       uint64
 	clientID string
+	digest   uint64
 	// rank orders queries of the same priority. All daemons compute the same rank for a request.
 	rank    uint64
 	route   cataloger.Route
@@ -34,6 +35,8 @@
 	needed   int
 	// sent is the number of requests and sub-queries sent.
 	sent int
+	// losses is the number of connections that were lost under the query.
+	losses int
 	// timerAt is the time of the query's timer; 0 when none is set.
 	timerAt tiller.Millis
 	topK    int
--- a/gatherer/report.go
+++ b/gatherer/report.go
@@ -15,6 +15,8 @@
 	reportMillis = 400
 	// reportExclusionMillis is the time for which a daemon that did not answer a report gets none.
 	reportExclusionMillis = 2 * tiller.Second
+	// firstReportMillis is the interval at which a daemon that has just started asks the others.
+	firstReportMillis = 1 * tiller.Second
 	// collectorsPerRegion is the number of daemons of each region that get the reports of all daemons.
 	collectorsPerRegion = 1
 	// publishRetryMillis is the interval between attempts to publish a result, publishDelayMillis the time that
@@ -24,12 +26,14 @@
 	maxPublishRank     = 4
 )
 
-// Report is what one daemon tells another during a rollout. It is also the reply to a report.
+// Report is what one daemon tells another about rollouts and harmful requests. It is also the reply to a report.
 type Report struct {
 	_           struct{} `cbor:",toarray"`
 	VM          string
 	Incarnation int64
 	Rollouts    []RolloutReport
+	// Suspects are the requests under which upstreams crashed.
+	Suspects []SuspectReport
 }
 
 // RolloutReport is one daemon's view of a rollout.
@@ -61,20 +65,22 @@
 func (ReportReceived) event() {}
 func (ReportLost) event()     {}
 
-// scheduleReport makes the next report due at a time, unless one is due before.
-func (s *State) scheduleReport(at tiller.Millis) {
-	if s.reportAt == 0 || at < s.reportAt {
-		s.reportAt = at
+// scheduleBackground makes the next report due at a time, unless one is due before.
+func (s *State) scheduleBackground(at tiller.Millis) {
+	if s.backgroundAt == 0 || at < s.backgroundAt {
+		s.backgroundAt = at
 	}
 }
 
-// reportRollouts decides the rollouts, sends a report to the collectors while one is in progress, and publishes
-// the results that are not in the store yet.
-func (s *State) reportRollouts(now tiller.Millis) {
-	if s.reportAt == 0 || now < s.reportAt {
+// runBackground probes upstreams that may have crashed, decides the rollouts, publishes the results that are not
+// in the store yet, and sends reports: decisions and blocked requests to all daemons, everything else to the
+// collectors.
+func (s *State) runBackground(now tiller.Millis) {
+	if s.backgroundAt == 0 || now < s.backgroundAt {
 		return
 	}
-	s.reportAt = 0
+	s.backgroundAt = 0
+	s.checkUnclear(now)
 	running, announce := false, false
 	for _, r := range s.sortedRollouts() {
 		s.judgeRollout(now, r)
@@ -85,23 +91,30 @@
 	}
 	var recipients []*peer
 	switch {
-	case announce:
+	case announce || s.announceBlocked:
 		recipients = s.sortedPeers()
-	case running:
+	case running || s.reportSuspects && len(s.suspectReports(now)) > 0:
 		recipients = s.collectors(now)
+	case s.storeRead && !s.heardReport && len(s.peers) > 0:
+		// A daemon that has just started asks what the others know.
+		recipients = s.collectors(now)
+		s.scheduleBackground(now + firstReportMillis)
+	default:
+		recipients = s.missedReports(now)
 	}
+	s.reportSuspects, s.announceBlocked = false, false
 	for _, p := range recipients {
 		s.emit(SendReport{Member: p.Member, Report: s.Report(now)})
 	}
 	if running {
-		s.scheduleReport(now + reportMillis)
+		s.scheduleBackground(now + reportMillis)
 	}
 	for _, r := range s.rollouts {
 		if r.needsPublishing() {
-			s.scheduleReport(max(r.publishAt, now+1))
+			s.scheduleBackground(max(r.publishAt, now+1))
 		}
 		if next, ok := r.nextDecision(now, s.decisionDelay(r)); ok {
-			s.scheduleReport(next)
+			s.scheduleBackground(next)
 		}
 	}
 }
@@ -156,7 +169,7 @@
 
 // Report returns this daemon's view of all rollouts.
 func (s *State) Report(now tiller.Millis) Report {
-	report := Report{VM: s.settings.VM, Incarnation: s.settings.Incarnation}
+	report := Report{VM: s.settings.VM, Incarnation: s.settings.Incarnation, Suspects: s.suspectReports(now)}
 	for _, r := range s.sortedRollouts() {
 		if r.Revision == 0 {
 			continue
@@ -177,6 +190,11 @@
 	if report.VM == s.settings.VM {
 		return
 	}
+	s.heardReport = true
+	if p := s.peers[report.VM]; p != nil {
+		p.missedReport = false
+	}
+	s.mergeSuspects(now, report.Suspects)
 	for _, theirs := range report.Rollouts {
 		r := s.rollouts[theirs.Service]
 		if r == nil || r.Revision != theirs.Revision {
@@ -190,17 +208,34 @@
 			s.setRolloutState(now, r, theirs.State, "Daemon "+report.VM)
 		}
 		if r.comparison.Fault().Cause != mover.NoFault {
-			s.scheduleReport(now)
+			s.scheduleBackground(now)
 		}
 	}
-	s.reportRollouts(now)
+	s.runBackground(now)
 }
 
 // loseReport excludes a daemon that did not answer a report.
 func (s *State) loseReport(now tiller.Millis, vm string) {
 	if p := s.peers[vm]; p != nil {
-		p.reportsFrom = now + reportExclusionMillis
+		p.reportsFrom, p.missedReport = now+reportExclusionMillis, true
+		s.scheduleBackground(p.reportsFrom)
+	}
+}
+
+// missedReports returns the daemons that did not answer their last report and may answer now. They are of no
+// interest once nothing is left to tell them.
+func (s *State) missedReports(now tiller.Millis) []*peer {
+	if report := s.Report(now); len(report.Rollouts) == 0 && len(report.Suspects) == 0 {
+		return nil
+	}
+	var missed []*peer
+	for _, p := range s.sortedPeers() {
+		if p.missedReport && now >= p.reportsFrom {
+			p.missedReport = false
+			missed = append(missed, p)
+		}
 	}
+	return missed
 }
 
 // collectors returns the daemons that get this daemon's reports: in each region those that rank first among
--- a/gatherer/rollout.go
+++ b/gatherer/rollout.go
@@ -133,7 +133,7 @@
 	}
 	s.rollouts[r.Service] = r
 	s.emitRolloutChanged(now, r, "Order")
-	s.scheduleReport(now)
+	s.scheduleBackground(now)
 }
 
 func (s *State) emitRolloutChanged(now tiller.Millis, r *rollout, cause string) {
@@ -199,7 +199,7 @@
 		r.decidedAt = now
 	}
 	s.emitRolloutChanged(now, r, cause)
-	s.scheduleReport(now)
+	s.scheduleBackground(now)
 }
 
 // allowsVersion reports whether the version of an upstream may get a request. canary is true for a request that
--- a/gatherer/simulation_test.go
+++ b/gatherer/simulation_test.go
@@ -43,6 +43,9 @@
 	store        rolloutStore
 	// rolloutLog holds the decisions of all daemons on rollouts.
 	rolloutLog []string
+	// digests holds the digests of requests by identifier; crashing holds those that crash upstreams.
+	digests  map[string]uint64
+	crashing map[string]bool
 }
 
 // daemon is a State with its outstanding attempts and sub-queries.
@@ -121,6 +124,7 @@
 	sim := &simulation{
 		t: t, now: 1000, random: rand.New(rand.NewPCG(seed, 7)), upstreams: make(map[string]*fakeUpstream),
 		outcomes: make(map[string]*outcome), arrivals: make(map[string][]arrival),
+		digests: make(map[string]uint64), crashing: make(map[string]bool),
 	}
 	for i := range daemonsPerRegion * len(regions) {
 		d := &daemon{
@@ -292,6 +296,8 @@
 		})
 	case gatherer.SendReport:
 		sim.sendReport(d, e)
+	case gatherer.ProbeUpstream:
+		sim.probeUpstream(d, e)
 	case gatherer.RolloutChanged:
 		sim.rolloutLog = append(sim.rolloutLog, fmt.Sprintf("%d %s %s by %s %+v %+v", sim.now, d.vm, e.State, e.Cause, e.Evidence, e.Fault))
 	case gatherer.PublishRollout:
@@ -332,7 +338,7 @@
 	sim.lastQuery++
 	id := fmt.Sprintf("q-%d", sim.lastQuery)
 	sim.outcomes[id] = &outcome{path: path, startedAt: sim.now}
-	sim.step(d, gatherer.QueryArrived{Query: sim.lastQuery, ID: id, Host: "h", Path: path, Deadline: 1000})
+	sim.step(d, gatherer.QueryArrived{Query: sim.lastQuery, ID: id, Digest: sim.digests[id], Host: "h", Path: path, Deadline: 1000})
 	return id
 }
 
@@ -364,6 +370,11 @@
 	d.pending[e.Attempt] = &pendingAttempt{cancel: func() { abandon(tiller.ReasonCancelled) }}
 	sim.schedule(e.Timeout, func() { abandon(tiller.ReasonTimeout) })
 	sim.schedule(networkDelay(d.region, s.Region), func() {
+		if sim.now < s.downUntil {
+			refused := gatherer.AttemptEnded{Failure: tiller.NewFailure(tiller.NotRun, tiller.ReasonConnectFailed, nil)}
+			sim.schedule(networkDelay(d.region, s.Region), func() { end(refused) })
+			return
+		}
 		cancel = sim.serve(s, id, func(event gatherer.AttemptEnded) {
 			sim.schedule(networkDelay(d.region, s.Region), func() { end(event) })
 		})
@@ -433,6 +444,6 @@
 		if !peer.crashed {
 			sim.schedule(delay(), func() { sim.step(d, gatherer.SubQueryAccepted{Attempt: e.Attempt}) })
 		}
-		sim.step(peer, gatherer.SubQueryArrived{Query: query, ID: "sub of " + id, SubQuery: e.SubQuery})
+		sim.step(peer, gatherer.SubQueryArrived{Query: query, ID: "sub of " + id, Digest: sim.digests[id], SubQuery: e.SubQuery})
 	})
 }
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -7,6 +7,7 @@
 	"github.com/carawaytiller/carawaytiller/balancer"
 	"github.com/carawaytiller/carawaytiller/cataloger"
 	"github.com/carawaytiller/carawaytiller/hedger"
+	"github.com/carawaytiller/carawaytiller/quarantiner"
 )
 
 // groupCountOf returns the number of groups that the shards of the service's route are divided into.
@@ -61,13 +62,22 @@
 	missRates map[string]missRate
 	// queuedShards holds, by service, the shards that wait for capacity at an upstream.
 	queuedShards map[string][]*shard
-	// rollouts holds the moves to new versions by service. reportAt is the time of the next report about them;
-	// 0 if none is due.
-	rollouts  map[string]*rollout
-	reportAt  tiller.Millis
-	latencies map[latencyKey]*hedger.Latency
-	pauses    *balancer.PausePredictor
-	effects   []Effect
+	// rollouts holds the moves to new versions by service.
+	rollouts map[string]*rollout
+	// harmful holds the requests that crash upstreams. unclear holds, by upstream, the lost connections of which
+	// it is not known whether the upstream crashed.
+	harmful *quarantiner.Table
+	unclear map[string]*unclearLoss
+	// reportSuspects is true if requests became suspect since the last report, announceBlocked if any became
+	// blocked.
+	reportSuspects, announceBlocked bool
+	// heardReport is true once another daemon has told this one what it knows.
+	heardReport bool
+	// backgroundAt is the time of the next work that belongs to no query; 0 if none is due.
+	backgroundAt tiller.Millis
+	latencies    map[latencyKey]*hedger.Latency
+	pauses       *balancer.PausePredictor
+	effects      []Effect
 }
 
 // upstream is a known upstream and its measured state.
@@ -99,6 +109,8 @@
 	rejectsUntil tiller.Millis
 	// reportsFrom is the time from which the daemon gets reports again, because it did not answer one.
 	reportsFrom tiller.Millis
+	// missedReport is true if the daemon did not answer a report, which is then sent again.
+	missedReport bool
 }
 
 // New returns a State without a configuration, upstreams or other daemons.
@@ -119,6 +131,8 @@
 		missRates:          make(map[string]missRate),
 		queuedShards:       make(map[string][]*shard),
 		rollouts:           make(map[string]*rollout),
+		harmful:            quarantiner.New(0),
+		unclear:            make(map[string]*unclearLoss),
 		latencies:          make(map[latencyKey]*hedger.Latency),
 		pauses:             balancer.NewPausePredictor(),
 	}
@@ -150,6 +164,7 @@
 	case StoreRead:
 		s.storeRead = true
 		s.settleIfFleetRuns()
+		s.scheduleBackground(now)
 	case ConfigurationChanged:
 		s.applyConfiguration(e.Configuration)
 		s.preconnectPeers()
@@ -172,13 +187,15 @@
 		s.dateRollout(now, e)
 	case RolloutPublished:
 		s.publishedRollout(now, e.Status)
+	case UpstreamProbed:
+		s.endUpstreamProbe(now, e)
 	case ReportReceived:
 		s.receiveReport(now, e.Report)
 	case ReportLost:
 		s.loseReport(now, e.VM)
 	case TimerFired:
 		s.fireTimers(now)
-		s.reportRollouts(now)
+		s.runBackground(now)
 	}
 	return s.effects
 }
--- a/gatherer/subquery.go
+++ b/gatherer/subquery.go
@@ -132,6 +132,9 @@
 		}
 		sh.stamp, sh.records = p.Stamp, nil
 	}
+	if len(r.Parts) > 0 {
+		s.recordSuccess(now, q)
+	}
 	q.merged = append(q.merged, r.Records)
 	for _, m := range r.Missing {
 		sh, ok := byName[m.Shard]
@@ -145,7 +148,10 @@
 			sh.budgeted = true
 		}
 		sh.reason = m.Reason
-		if sh.outstanding == 0 {
+		switch {
+		case m.Reason == tiller.ReasonHarmful:
+			sh.fail(m.Reason)
+		case sh.outstanding == 0:
 			s.resend(now, sh, m.Reason)
 		}
 	}
--- a/gatherer/timer.go
+++ b/gatherer/timer.go
@@ -32,9 +32,9 @@
 func (s *State) NextTimer() (tiller.Millis, bool) {
 	switch {
 	case len(s.timers) == 0:
-		return s.reportAt, s.reportAt > 0
-	case s.reportAt > 0:
-		return min(s.timers[0].at, s.reportAt), true
+		return s.backgroundAt, s.backgroundAt > 0
+	case s.backgroundAt > 0:
+		return min(s.timers[0].at, s.backgroundAt), true
 	}
 	return s.timers[0].at, true
 }
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -211,6 +211,19 @@
 	return before < blockThreshold && s.Losses >= blockThreshold
 }
 
+// MergeLosses adds the losses of a digest that another daemon saw, and reports whether the digest becomes
+// blocked.
+func (t *Table) MergeLosses(now tiller.Millis, digest uint64, upstreams []string, expires tiller.Millis) bool {
+	before := t.Losses(now, digest)
+	if expires <= 0 || before >= blockThreshold {
+		return false
+	}
+	for _, upstream := range upstreams[:min(len(upstreams), blockThreshold)] {
+		t.addLoss(now, digest, loss{upstream: upstream, at: now})
+	}
+	return t.Losses(now, digest) >= blockThreshold
+}
+
 // Suspects returns at most limit digests with losses, by descending number of losses, then by digest.
 func (t *Table) Suspects(now tiller.Millis, limit int) []Suspect {
 	if len(t.suspects) == 0 {
--- a/quarantiner/table_test.go
+++ b/quarantiner/table_test.go
@@ -103,3 +103,15 @@
 	b := quarantiner.Digest(tiller.Query{Service: "a", Route: "bc"})
 	require.NotEqual(t, a, b)
 }
+
+// Losses that several daemons saw of different upstreams must add up, and those of the same one must not.
+func TestMergedLossesAddUp(t *testing.T) {
+	q := quarantiner.New(10)
+	q.RecordLoss(0, "u1", "a", []uint64{1})
+	require.False(t, q.MergeLosses(1, 1, []string{"u1"}, 5000))
+	require.False(t, q.Blocked(2, 1))
+	require.False(t, q.MergeLosses(1, 1, []string{"u2"}, 0), "expired")
+	require.True(t, q.MergeLosses(3, 1, []string{"u2"}, 5000))
+	require.True(t, q.Blocked(4, 1))
+	require.False(t, q.MergeLosses(5, 1, []string{"u3"}, 5000), "already blocked")
+}
