Abort answers that come without end

The heads of a response are bounded by 256 KB, interim responses included, and the connection is closed before the body of an answer that is too long, because closing the body first reads what is left of it.

TestHeadThatEndsEarlyIsNoAnswer cuts a head after each byte. It passed before: the report of a 200 with an empty body cannot happen here.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -29,6 +29,8 @@
 	defaultKeepAlive = 20 * tiller.Second
 	// maxResponseBytes bounds a response body, which is held in memory.
 	maxResponseBytes = 8 << 20
+	// maxHeadBytes bounds the heads of a response and of the interim responses before it.
+	maxHeadBytes = 256 << 10
 	// concurrentWriteBytes is the body size from which the response is read while the body is written,
 	// because an upstream may respond before it has read the whole body.
 	concurrentWriteBytes = 4 << 10
@@ -205,7 +207,8 @@
 	if keepAlive <= 0 {
 		keepAlive = defaultKeepAlive
 	}
-	return &connection{Conn: raw, reader: bufio.NewReader(raw), keepAlive: keepAlive, newlyOpened: true}, nil
+	received := &io.LimitedReader{R: raw}
+	return &connection{Conn: raw, received: received, reader: bufio.NewReader(received), keepAlive: keepAlive, newlyOpened: true}, nil
 }
 
 func poolKey(r Request) string { return r.Address + " " + r.Key }
@@ -282,6 +285,8 @@
 // connection is a pooled connection.
 type connection struct {
 	net.Conn
+	// received bounds the bytes that reader takes from Conn, which may come without end.
+	received    *io.LimitedReader
 	reader      *bufio.Reader
 	idleSince   tiller.Millis
 	keepAlive   tiller.Millis
@@ -347,6 +352,7 @@
 	request := &http.Request{Method: r.Method}
 	var confirmed atomic.Bool
 	confirmed.Store(r.OnAccepted == nil)
+	c.received.N = maxHeadBytes
 	for {
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -361,14 +367,18 @@
 				confirmed.Store(err == nil)
 			})
 		}
+		// Chunks of one byte are the longest encoding of a body.
+		c.received.N = maxHeadBytes + 8*maxResponseBytes
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-		_ = resp.Body.Close()
 		if err == nil && len(body) > maxResponseBytes {
 			err = errors.Errorf("answer body exceeds %d bytes", maxResponseBytes)
 		}
 		if err != nil {
+			// Closing the body would read what is left of it.
+			_ = c.Close()
 			return Response{}, false, tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, err)
 		}
+		_ = resp.Body.Close()
 		closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		reusable := !resp.Close && !closeDelimited && c.reader.Buffered() == 0 && confirmed.Load()
 		return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
