--- a/reason.go
+++ b/reason.go
@@ -41,7 +41,7 @@
 	ReasonNoShard        Reason = "NoShard"    // the upstream does not hold the shard
 	ReasonNoUpstream     Reason = "NoUpstream" // no upstream can serve the shard
 	ReasonUpstreamError  Reason = "UpstreamError"
-	ReasonLimited        Reason = "Limited"    // the upstreams take no more requests now, by the limit that they named
+	ReasonLimited        Reason = "Limited" // the upstreams take no more requests now, by the limit that they named
 	ReasonConnectFailed  Reason = "ConnectFailed"
 	ReasonConnectionLost Reason = "ConnectionLost"
 	ReasonSilent         Reason = "Silent"       // the connection stopped responding
