Decide rollouts in large fleets and with short or uneven latencies

The slack goes mostly to the gatherers of a shard, as limits do; the strongest daemon of each region collects; daemons with nothing new report every 1.6 s; latencies up to 10 ms are one class, and slow begins two classes above the old version's slowest tenth, because old requests go to fast upstreams and canary ones to any.

--- a/gatherer/report.go
+++ b/gatherer/report.go
@@ -13,6 +13,8 @@
 const (
 	// reportMillis is the interval between two reports of a daemon during a rollout.
 	reportMillis = 400
+	// quietMillis is the interval for a daemon that has seen nothing new.
+	quietMillis = 1600
 	// reportExclusionMillis is the time for which a daemon that did not answer a report gets none.
 	reportExclusionMillis = 2 * tiller.Second
 	// firstReportMillis is the interval at which a daemon that has just started asks the others.
@@ -93,7 +95,8 @@
 	switch {
 	case announce || s.announceBlocked:
 		recipients = s.sortedPeers()
-	case running || s.reportSuspects && len(s.suspectReports(now)) > 0:
+	case running && (now >= s.reportedAt+quietMillis || s.observedRequests() != s.reportedRequests),
+		s.reportSuspects && len(s.suspectReports(now)) > 0:
 		recipients = s.collectors(now)
 	case s.storeRead && !s.heardReport && len(s.peers) > 0:
 		// A daemon that has just started asks what the others know.
@@ -103,22 +106,36 @@
 		recipients = s.missedReports(now)
 	}
 	s.reportSuspects, s.announceBlocked = false, false
+	if len(recipients) > 0 {
+		s.reportedAt, s.reportedRequests = now, s.observedRequests()
+	}
 	for _, p := range recipients {
 		s.emit(SendReport{Member: p.Member, Report: s.Report(now)})
 	}
 	if running {
-		s.scheduleBackground(now + reportMillis)
+		s.scheduleBackground(now + s.reportInterval())
 	}
 	for _, r := range s.rollouts {
 		if r.needsPublishing() {
 			s.scheduleBackground(max(r.publishAt, now+1))
 		}
-		if next, ok := r.nextDecision(now, s.decisionDelay(r)); ok {
+		if next, ok := r.nextDecision(now, s.decisionDelay()); ok {
 			s.scheduleBackground(next)
 		}
 	}
 }
 
+// reportInterval returns the time until the next report. While a service switches, its new version gets many
+// requests at once.
+func (s *State) reportInterval() tiller.Millis {
+	for _, r := range s.rollouts {
+		if r.state == cataloger.RolloutSwitching {
+			return reportMillis / 2
+		}
+	}
+	return reportMillis
+}
+
 // nextDecision returns the next time of the plan at which a rollout may be decided.
 func (r *rollout) nextDecision(now, delay tiller.Millis) (tiller.Millis, bool) {
 	if r.state.IsFinal() || !r.dated {
@@ -244,9 +261,7 @@
 	var chosen []*peer
 	for _, region := range s.sortedRegions() {
 		peers := slices.Clone(s.peersByRegion[region])
-		slices.SortFunc(peers, func(a, b *peer) int {
-			return cmp.Compare(rendezvousWeight(b.VM, "collector"), rendezvousWeight(a.VM, "collector"))
-		})
+		slices.SortFunc(peers, func(a, b *peer) int { return compareCollectors(a.Power, a.VM, b.Power, b.VM) })
 		n := 0
 		for _, p := range peers {
 			if n < collectorsPerRegion && now >= p.reportsFrom {
@@ -258,6 +273,36 @@
 	return chosen
 }
 
+// compareCollectors orders the daemons of a region as collectors: by descending power, because weak VMs would be
+// late with many reports, then by rendezvous hashing.
+func compareCollectors(powerA int, vmA string, powerB int, vmB string) int {
+	if powerA != powerB {
+		return cmp.Compare(powerB, powerA)
+	}
+	return cmp.Compare(rendezvousWeight(vmB, "collector"), rendezvousWeight(vmA, "collector"))
+}
+
+// isCollector reports whether this daemon ranks first among those of its region.
+func (s *State) isCollector() bool {
+	for _, p := range s.peersByRegion[s.settings.Region] {
+		if compareCollectors(p.Power, p.VM, s.settings.Power, s.settings.VM) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// observedRequests returns the number of requests that this daemon has seen in rollouts that are in progress.
+func (s *State) observedRequests() int64 {
+	n := int64(0)
+	for _, r := range s.rollouts {
+		for _, o := range r.observed {
+			n += o.Old.Requests + o.New.Requests
+		}
+	}
+	return n
+}
+
 func (s *State) sortedRegions() []string {
 	regions := make([]string, 0, len(s.peersByRegion))
 	for region := range s.peersByRegion {
--- a/gatherer/rollout.go
+++ b/gatherer/rollout.go
@@ -18,6 +18,8 @@
 	// contactMillis is the time for which an exchange of evidence allows canary requests. A daemon that is cut
 	// off from the others would not hear of a fault.
 	contactMillis = 2 * tiller.Second
+	// informedMillis is the time for which a report counts. Daemons with nothing new report every quietMillis.
+	informedMillis = 4 * tiller.Second
 	// heldMillis is the time for which upstreams of a version that appears beside another one wait for an order:
 	// upstreams and orders may become known in either order.
 	heldMillis = 2 * tiller.Second
@@ -116,7 +118,7 @@
 		return
 	}
 	bounds := s.settings.Bounds
-	slack := s.fleet.share(bounds.CanarySlack)
+	slack := s.canarySlack(e.Rollout.Service)
 	if e.Old {
 		// The part of this daemon may have been used before a restart.
 		slack = 0
@@ -136,6 +138,28 @@
 	s.scheduleBackground(now)
 }
 
+// regularSlackShare is the part of the canary slack for the daemons that regularly send to a service. All others
+// share the rest.
+const regularSlackShare = 0.75
+
+// canarySlack returns this daemon's part of the canary slack. In a large fleet only the gatherers of a shard send
+// requests to it regularly.
+func (s *State) canarySlack(service string) float64 {
+	slack := s.settings.Bounds.CanarySlack
+	if !s.isGrouped(service) {
+		return s.fleet.share(slack)
+	}
+	domains := make(map[string]bool)
+	for _, u := range s.upstreamsByService[service] {
+		domains[u.Domain] = true
+	}
+	regular := min(max(gatherersPerGroup*len(domains), 1), max(s.fleet.size, 1))
+	if domains[s.settings.Domain] && s.isGatherer(service, s.groupCountOf(service)) {
+		return regularSlackShare * safetyFactor * slack / float64(regular)
+	}
+	return (1 - regularSlackShare) * safetyFactor * slack / float64(max(s.fleet.size-regular, 1))
+}
+
 func (s *State) emitRolloutChanged(now tiller.Millis, r *rollout, cause string) {
 	s.emit(RolloutChanged{
 		Rollout: r.Rollout, State: r.state, Cause: cause, Age: now - r.startedAt, Reporters: len(r.reports) + 1,
@@ -349,7 +373,7 @@
 	}
 	before := r.state
 	fault := r.comparison.Update(s.process(), r.observed)
-	elapsed := now - r.startedAt - s.decisionDelay(r)
+	elapsed := now - r.startedAt - s.decisionDelay()
 	switch {
 	case fault.Cause != mover.NoFault:
 		s.setRolloutState(now, r, cataloger.RolloutRolledBack, "Fault")
@@ -369,19 +393,34 @@
 	r.unannounced = r.unannounced || r.state != before
 }
 
-// decisionDelayMillis is the time by which each further daemon decides later, so that one of them usually
+// decisionDelayMillis is the time by which each further collector decides later, so that one of them usually
 // decides for all.
 const decisionDelayMillis = 100
 
-func (s *State) decisionDelay(r *rollout) tiller.Millis {
-	return decisionDelayMillis * tiller.Millis(min(s.rankFor(r.Service), 3))
+// decisionDelay returns the time by which this daemon decides later than the first one: the collectors of the
+// regions in turn, then all others.
+func (s *State) decisionDelay() tiller.Millis {
+	rank, regions := 0, 1
+	for region := range s.peersByRegion {
+		if region == s.settings.Region {
+			continue
+		}
+		regions++
+		if region < s.settings.Region {
+			rank++
+		}
+	}
+	if !s.isCollector() {
+		rank = regions
+	}
+	return decisionDelayMillis * tiller.Millis(rank)
 }
 
 // isInformed reports whether more than half of the fleet has reported its evidence lately.
 func (s *State) isInformed(now tiller.Millis, r *rollout) bool {
 	known := 1
 	for _, at := range r.reports {
-		if now-at < contactMillis {
+		if now-at < informedMillis {
 			known++
 		}
 	}
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -71,6 +71,9 @@
 	// reportSuspects is true if requests became suspect since the last report, announceBlocked if any became
 	// blocked.
 	reportSuspects, announceBlocked bool
+	// reportedAt is the time of the latest report, reportedRequests the number of requests in it.
+	reportedAt       tiller.Millis
+	reportedRequests int64
 	// heardReport is true once another daemon has told this one what it knows.
 	heardReport bool
 	// backgroundAt is the time of the next work that belongs to no query; 0 if none is due.
--- a/mover/comparison.go
+++ b/mover/comparison.go
@@ -8,9 +8,11 @@
 
 const (
 	// latencyBuckets is the number of latency classes, each bucketGrowth times as wide as the one before. The
-	// last one holds everything from about 60 s on.
-	latencyBuckets = 64
-	bucketGrowth   = 1.19
+	// first one holds everything up to minLatencyMillis, since opening a connection to a new upstream takes some
+	// milliseconds, and the last one everything from about 60 s on.
+	latencyBuckets   = 51
+	bucketGrowth     = 1.19
+	minLatencyMillis = 10.0
 	// minConfirmations is the number of requests of a new version below which it is never confirmed;
 	// minTimedConfirmations of them must have a latency. A route needs minRouteConfirmations of them, or
 	// routeConfirmationShare of those of the old version if that is less.
@@ -28,6 +30,12 @@
 	// Above them, the evidence speaks for a fault without proving it. Slow answers are more frequent by chance.
 	maxConfirmedFailureScore = 3.0
 	maxConfirmedLatencyScore = 4.0
+	// slowerBuckets is the number of latency classes above the slowest answers of the old version from which an
+	// answer counts as slow. Upstreams differ in speed; requests to the old version go to fast ones, those to the
+	// new version to any.
+	slowerBuckets = 2
+	// minSlowRate is the lower bound of the old version's share of slow answers.
+	minSlowRate = 0.05
 	// slowDeviations is the number of standard deviations by which the share of slow answers of a confirmed
 	// version may exceed that of the old one.
 	slowDeviations = 2.5
@@ -65,10 +73,7 @@
 
 // bucketOf returns the latency class of a time.
 func bucketOf(took tiller.Millis) int {
-	if took <= 1 {
-		return 0
-	}
-	return min(int(math.Log(float64(took))/math.Log(bucketGrowth)), latencyBuckets-1)
+	return min(int(math.Log(max(float64(took), minLatencyMillis)/minLatencyMillis)/math.Log(bucketGrowth)), latencyBuckets-1)
 }
 
 // plus returns the sum of two observations.
@@ -189,9 +194,10 @@
 		return
 	}
 	old := r.total.Old
-	bucket := old.slowBucket()
+	bucket := old.slowBucket() + slowerBuckets
 	slow, timed := recent.above(bucket)
 	oldSlow, oldTimed := old.above(bucket)
+	oldSlow = max(oldSlow, int64(minSlowRate*float64(oldTimed)))
 	r.latencyScore = max(0, r.latencyScore+logLikelihoodRatio(slow, timed, oldSlow, oldTimed))
 	switch {
 	case c.fault.Cause != NoFault:
@@ -244,7 +250,7 @@
 		if r.latencyScore > maxConfirmedLatencyScore || r.isSlower() {
 			return false
 		}
-		_, n := r.total.New.above(0)
+		_, n := r.total.New.above(-1)
 		timed += n
 	}
 	return timed >= minTimedConfirmations && c.whole.total.New.Requests >= minConfirmations
@@ -272,13 +278,13 @@
 
 // isSlower reports whether the new version has more slow answers than chance explains.
 func (r *routeComparison) isSlower() bool {
-	bucket := r.total.Old.slowBucket()
+	bucket := r.total.Old.slowBucket() + slowerBuckets
 	oldSlow, oldTimed := r.total.Old.above(bucket)
 	slow, timed := r.total.New.above(bucket)
 	if oldTimed < minOldRequests {
 		return false
 	}
-	rate := max(minOldRate, float64(oldSlow)/float64(oldTimed))
+	rate := max(minSlowRate, float64(oldSlow)/float64(oldTimed))
 	expected := rate * float64(timed)
 	return float64(slow) > expected+slowDeviations*math.Sqrt(expected*(1-rate))
 }
--- a/mover/comparison_test.go
+++ b/mover/comparison_test.go
@@ -141,3 +141,20 @@
 		}
 	}
 }
+
+// Opening a connection to an upstream of a new version takes some milliseconds. That must not make a version slow
+// whose answers take a few milliseconds, and upstreams of different speed must not either.
+func TestShortLatenciesAreNotCompared(t *testing.T) {
+	for name, latencies := range map[string][2]tiller.Millis{"Connection": {2, 7}, "Speed": {100, 130}} {
+		c := mover.NewComparison()
+		var seen mover.RouteObservations
+		for range 200 {
+			seen.Old = seen.Old.WithLatency(latencies[0])
+		}
+		for range 40 {
+			seen.New = seen.New.WithLatency(latencies[1])
+		}
+		require.Equal(t, mover.NoFault, c.Update("vm", mover.Observations{"a": seen}).Cause, name)
+		require.True(t, c.Confirmed(), name)
+	}
+}
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -19,8 +19,9 @@
 	noticeFraction  = 8
 	// writeMillis is reserved for publishing the result before the deadline.
 	writeMillis = 500
-	// switchMillis is the time between SwitchAt and CompleteAt. Most requests take less.
-	switchMillis = 600
+	// switchMillis is the time between SwitchAt and CompleteAt. Most requests take less, and faults that show only
+	// now are reported.
+	switchMillis = 1000
 	// giveUpMillis is the time after the deadline at which an undecided rollout is ended.
 	giveUpMillis = 2 * tiller.Second
 	// canarySlackShare is the part of the slack that is released evenly until SwitchAt.
