Let a version serve that is released after a completed rollout

After a completed rollout the versions other than its target stayed barred as long as an upstream of the target was known, so upstreams of a later release without an order got no requests until the last old one had left.

Other versions are barred for 10 s after the completion, in which entries of stopped upstreams may remain. TestReleaseAfterRolloutServes failed before.

--- a/gatherer/rollout.go
+++ b/gatherer/rollout.go
@@ -23,6 +23,9 @@
 	// heldMillis is the time for which upstreams of a version that appears beside another one wait for an order:
 	// upstreams and orders may become known in either order.
 	heldMillis = 2 * tiller.Second
+	// stoppedMillis is the time after a completed rollout in which entries of stopped upstreams may remain. Later,
+	// any other version is a newer one that was started without an order.
+	stoppedMillis = 10 * tiller.Second
 	// mainRouteShare is the share of a daemon's requests from which a route gets as many canary requests as the
 	// others. Faults of a single route are found as soon as those of all routes.
 	mainRouteShare = 0.1
@@ -239,7 +242,7 @@
 	case r.state == cataloger.RolloutRolledBack:
 		return !isNew
 	case r.state == cataloger.RolloutCompleted:
-		return isNew || !s.hasVersion(r.Service, r.Target)
+		return isNew || now >= r.decidedAt+stoppedMillis || !s.hasVersion(r.Service, r.Target)
 	case isNew && !s.hasOther(r):
 		return true
 	}
--- a/gatherer/rollout_test.go
+++ b/gatherer/rollout_test.go
@@ -270,6 +270,21 @@
 	}
 }
 
+// A version that replaces the completed one later, without an order, must serve beside it.
+func TestReleaseAfterRolloutServes(t *testing.T) {
+	t.Parallel()
+	sim := newRolloutSimulation(t, 1, 32000)
+	sim.runUntil(6000)
+	sim.orderRollout("single", 12000, func(*fakeUpstream) {})
+	sim.runUntil(28000)
+	require.Equal(t, cataloger.RolloutCompleted, sim.store.statuses["single"].State, sim.rolloutLog)
+	next := &fakeUpstream{Upstream: sim.upstreams["single-0"].Upstream, serviceTime: 20, queueLimit: 12}
+	next.ID, next.Version = "next", "v3"
+	sim.register(next)
+	sim.runUntil(32000)
+	require.NotEmpty(t, next.requestTimes)
+}
+
 // A daemon that knows neither the evidence of others nor the state in the store must not try a new version.
 func TestIsolatedDaemonTriesNoNewVersion(t *testing.T) {
 	t.Parallel()
