Drop a bound that another one implies

A version is confirmed from 16 requests with a latency on, so that the bound of 15 requests in all had no effect. Behaviour is the same; go test ./mover passed.

--- a/mover/comparison.go
+++ b/mover/comparison.go
@@ -13,11 +13,10 @@
 	latencyBuckets   = 51
 	bucketGrowth     = 1.19
 	minLatencyMillis = 10.0
-	// minConfirmations is the number of requests of a new version below which it is never confirmed;
-	// minTimedConfirmations of them must have a latency. A route needs minRouteConfirmations of them, or
-	// routeConfirmationShare of those of the old version if that is less.
-	minConfirmations       = 15
-	minTimedConfirmations  = 16
+	// minConfirmations is the number of requests of a new version with a latency below which it is never
+	// confirmed. A route needs minRouteConfirmations requests, or routeConfirmationShare of those of the old
+	// version if that is less.
+	minConfirmations       = 16
 	minRouteConfirmations  = 5
 	routeConfirmationShare = 0.05
 	// rollbackThreshold is the log-likelihood ratio above which a version is rolled back. It is lower than
@@ -253,7 +252,7 @@
 		_, n := r.total.New.above(-1)
 		timed += n
 	}
-	return timed >= minTimedConfirmations && c.whole.total.New.Requests >= minConfirmations
+	return timed >= minConfirmations
 }
 
 // Fails reports whether the new version seems to fail more often than the old one, or has a proven fault.
