Read the store's entries from a seed at the start of a daemon

A first read also listed the whole fleet once for each member, which costs the square of the fleet's size.

A starting daemon reads all entries from the nearest seed that has recent ones (bounded by 0.6 s), and from the store otherwise. MembersChanged is emitted once for each update.

Ruled out: longer stale reads alone, since an empty stale read does not tell its revision.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -44,12 +44,16 @@
 	log     logr.Logger
 	regions map[string]string
 	self    cataloger.Member
-	emit    func(gatherer.Event)
+	// seeds are the addresses of daemons that may hand this one the entries at its start.
+	seeds []string
+	emit  func(gatherer.Event)
 	// entryRemoved is called when the daemon's own entry was removed from the store.
 	entryRemoved func()
 
 	table   *Table
 	members map[string]cataloger.Member
+	// membersChanged is true if members changed since the last MembersChanged event.
+	membersChanged bool
 	// missingUntil holds the upstreams without an entry that may still register again, with the time
 	// at which they are removed.
 	missingUntil map[string]tiller.Millis
@@ -84,13 +88,13 @@
 	Lost func()
 }
 
-// New returns a Follower for the daemon self. regions maps failure domains to regions. client sends
-// requests to other daemons.
+// New returns a Follower for the daemon self. regions maps failure domains to regions, seeds are addresses of
+// daemons. client sends requests to other daemons.
 func New(clock tiller.Clock, store *platform.Store, client *forwarder.Client, log logr.Logger,
-	regions map[string]string, self cataloger.Member, timing Timing, callbacks Callbacks,
+	regions map[string]string, self cataloger.Member, seeds []string, timing Timing, callbacks Callbacks,
 ) *Follower {
 	return &Follower{
-		clock: clock, store: store, client: client, log: log, regions: regions, self: self,
+		clock: clock, store: store, client: client, log: log, regions: regions, self: self, seeds: seeds,
 		emit: callbacks.Emit, entryRemoved: callbacks.Lost, timing: timing,
 		table:         NewTable(),
 		members:       make(map[string]cataloger.Member),
@@ -125,6 +129,9 @@
 func (f *Follower) fetchChanges(ctx context.Context) error {
 	f.readsStore = true
 	if f.table.Revision() == 0 {
+		if f.failures == 0 && f.readSeed(ctx) {
+			return nil
+		}
 		return f.readAll(ctx, true)
 	}
 	from := f.nextSource()
@@ -192,11 +199,14 @@
 		f.table.Reset(oldest)
 	}
 	f.applyAll(items, oldest, true)
-	f.emit(gatherer.StoreRead{})
+	f.emitRead()
 	f.log.Info("Read the store", "Revision", oldest, "Keys", len(items), "Stale", stale)
 	return nil
 }
 
+// emitRead emits that all entries are known.
+func (f *Follower) emitRead() { f.emit(gatherer.StoreRead{}) }
+
 // applyAll applies items that lead to a revision. If whole is true, items are the complete state, and
 // known entries that are not among them are removed.
 func (f *Follower) applyAll(items []platform.Item, revision int64, whole bool) {
@@ -210,6 +220,7 @@
 			f.apply(platform.Item{Key: key, Revision: revision + 1, Deleted: true})
 		}
 	}
+	f.emitMembers()
 	f.table.Advance(revision)
 }
 
@@ -301,6 +312,16 @@
 		}
 		f.members[vm] = m
 	}
+	f.membersChanged = true
+}
+
+// emitMembers emits the members if they have changed. It does so once for all entries of an update, because the
+// event lists the whole fleet.
+func (f *Follower) emitMembers() {
+	if !f.membersChanged {
+		return
+	}
+	f.membersChanged = false
 	members := make([]cataloger.Member, 0, len(f.members))
 	for _, m := range f.members {
 		members = append(members, m)
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -18,7 +18,6 @@
 
 	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/cataloger"
-	"github.com/carawaytiller/carawaytiller/forwarder"
 )
 
 // ChangesPath is the path at which a daemon serves changes of the store to the daemons that follow it.
@@ -62,7 +61,12 @@
 		return
 	}
 	update, changed := f.table.Since(after)
-	if wait := min(relayWaitMillis, tiller.Millis(stale)-f.dataAge()); len(update.Items) == 0 && wait > 0 {
+	wait := min(relayWaitMillis, tiller.Millis(stale)-f.dataAge())
+	if update.Revision == 0 {
+		// This daemon is starting as well. A daemon for which it is a seed waits for its first read.
+		wait = relayWaitMillis
+	}
+	if len(update.Items) == 0 && wait > 0 {
 		timer := time.NewTimer(wait.Duration())
 		defer timer.Stop()
 		select {
@@ -223,10 +227,9 @@
 		"after": {strconv.FormatInt(f.table.Revision(), 10)},
 		"stale": {strconv.FormatInt(int64(from.maxAge), 10)},
 	}
-	resp, failure := f.client.Do(ctx, forwarder.Request{
-		Address: from.member.Address, Key: ChangesPath, Method: http.MethodGet, Host: from.member.Address, Header: http.Header{},
-		URI: ChangesPath + "?" + q.Encode(),
-	})
+	r := changesRequest(from.member.Address)
+	r.URI += "?" + q.Encode()
+	resp, failure := f.client.Do(ctx, r)
 	if failure != nil {
 		return update, failure
 	}
--- a/gatekeeper/fleet_test.go
+++ b/gatekeeper/fleet_test.go
@@ -112,12 +112,18 @@
 
 // startAt starts a daemon that uses the store at the given address.
 func (f *fleet) startAt(store, domain, vm string) *testDaemon {
+	return f.startWith(store, domain, vm, func(*platform.Settings) {})
+}
+
+// startWith starts a daemon whose settings change modifies.
+func (f *fleet) startWith(store, domain, vm string, change func(*platform.Settings)) *testDaemon {
 	s := platform.Settings{
 		VM: vm, Domain: domain, Region: domains[domain], Regions: domains,
 		FrontAddress: freeAddress(f.t), ReadyAddress: freeAddress(f.t), ControlAddress: freeAddress(f.t),
 		StoreAddress: store, Power: 400, StopWithin: 4000,
 		Bounds: cataloger.Bounds{RetryRatio: 0.2, RetrySlack: 56, ColdOverage: 1.5, ColdSlack: 5, CanaryShare: 0.1, CanarySlack: 50},
 	}
+	change(&s)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &testDaemon{settings: s, stop: cancel, exited: make(chan error, 1)}
 	g := gatekeeper.New(s, tiller.SystemClock(), testLog, func() int64 { return 0 })
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -76,7 +76,7 @@
 		VM: s.VM, Address: g.peerAddress(), Domain: s.Domain, Region: s.Region, Power: s.Power, Incarnation: incarnation,
 	}
 	g.announcer = follower.NewAnnouncer(store, log, self)
-	g.follower = follower.New(clock, store, g.client, log, s.Regions, self, follower.NewTiming(s.ApplyWithin), follower.Callbacks{Emit: g.executor.Step, Lost: g.announcer.EntryRemoved})
+	g.follower = follower.New(clock, store, g.client, log, s.Regions, self, s.Seeds, follower.NewTiming(s.ApplyWithin), follower.Callbacks{Emit: g.executor.Step, Lost: g.announcer.EntryRemoved})
 	return g
 }
 
