Send the shards of a sub-query that are answered ahead of the others

Cause: a gatherer waited for its last shard until the reply was due.

Change: after half of a sub-query's time the answered shards are sent as a first part, the rest when the reply is due. Daemons of earlier versions get and send whole replies (header Tiller-Parts).

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -38,7 +38,10 @@
 type QueryHandle struct {
 	id      uint64
 	request Request
-	// Done receives the outcome. It is buffered, so delivery never blocks.
+	// Part receives the part of a reply to a sub-query that is sent ahead, if there is one, before Done receives the
+	// rest. Both are buffered, so delivery never blocks.
+	Part chan gatherer.SubReply
+	// Done receives the outcome.
 	Done chan Outcome
 }
 
@@ -113,7 +116,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.lastQuery++
-	t := &QueryHandle{id: x.lastQuery, request: r, Done: make(chan Outcome, 1)}
+	t := &QueryHandle{id: x.lastQuery, request: r, Part: make(chan gatherer.SubReply, 1), Done: make(chan Outcome, 1)}
 	x.pending[t.id] = t
 	x.step(event(t.id))
 	return t
@@ -181,6 +184,10 @@
 		x.finishQuery(e.Query, Outcome{PassedThrough: x.currentResponse})
 	case gatherer.ReplyGathered:
 		x.finishQuery(e.Query, Outcome{Gathered: &e})
+	case gatherer.ReplyPart:
+		if t, ok := x.pending[e.Query]; ok {
+			t.Part <- e.Reply
+		}
 	case gatherer.ReplySub:
 		x.finishQuery(e.Query, Outcome{SubReply: &e.Reply})
 	case gatherer.Refuse:
--- a/executor/peer.go
+++ b/executor/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 
 	"github.com/fxamacker/cbor/v2"
@@ -23,6 +24,18 @@
 	Terms   gatherer.SubQuery
 }
 
+// PartsHeader is set on a sub-query if the requesting daemon accepts a reply in parts, and on a response that consists
+// of them. Daemons of earlier versions send and expect one SubReply.
+const PartsHeader = "Tiller-Parts"
+
+// ReplyFrame is one part of the response to a sub-query.
+type ReplyFrame struct {
+	_ struct{} `cbor:",toarray"`
+	// Last is false for the part that is sent ahead.
+	Last  bool
+	Reply gatherer.SubReply
+}
+
 // subQueryGrace is the time after the deadline of a sub-query at which its connection is closed.
 const subQueryGrace = 60 * tiller.Millis(1)
 
@@ -33,7 +46,8 @@
 	ctx := x.attemptContext(e.Attempt, e.Timeout+subQueryGrace)
 	go func() {
 		onAccepted := func(confirm func()) { x.subQueryAccepted(e.Attempt, confirm) }
-		reply, failure := x.exchangeSubQuery(ctx, e.Member.Address, message, onAccepted)
+		onPart := func(r gatherer.SubReply) { x.Step(gatherer.SubQueryPart{Attempt: e.Attempt, Reply: r}) }
+		reply, failure := x.exchangeSubQuery(ctx, e.Member.Address, message, onAccepted, onPart)
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		x.releaseAttempt(e.Attempt)
@@ -72,7 +86,7 @@
 	}
 }
 
-func (x *Executor) exchangeSubQuery(ctx context.Context, address string, message SubQuery, onAccepted func(confirm func())) (gatherer.SubReply, *tiller.Failure) {
+func (x *Executor) exchangeSubQuery(ctx context.Context, address string, message SubQuery, onAccepted func(confirm func()), onPart func(gatherer.SubReply)) (gatherer.SubReply, *tiller.Failure) {
 	var reply gatherer.SubReply
 	body, err := cbor.Marshal(message)
 	if err != nil {
@@ -80,6 +94,11 @@
 	}
 	r := gatherRequest(address)
 	r.Body, r.OnAccepted = body, onAccepted
+	r.Header.Set(PartsHeader, "1")
+	r.ReadBody = func(h http.Header, body io.Reader) (err error) {
+		reply, err = readReply(h, body, onPart)
+		return err
+	}
 	resp, failure := x.client.Do(ctx, r)
 	if failure != nil {
 		return reply, failure
@@ -88,12 +107,34 @@
 		err := errors.Errorf("daemon at %s answered the sub-query with status %d, want 200", address, resp.Status)
 		return reply, tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonInternal, err)
 	}
-	if err := cbor.Unmarshal(resp.Body, &reply); err != nil {
-		return reply, tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonMismatch, err)
-	}
 	return reply, nil
 }
 
+// readReply reads the response to a sub-query to its end. It calls onPart for the part that is sent ahead, as soon as
+// that has arrived, and returns the last one.
+func readReply(h http.Header, body io.Reader, onPart func(gatherer.SubReply)) (gatherer.SubReply, error) {
+	decoder := cbor.NewDecoder(body)
+	if h.Get(PartsHeader) == "" {
+		var reply gatherer.SubReply
+		if err := decoder.Decode(&reply); err != nil {
+			return reply, errors.Wrap(err, "decode reply")
+		}
+		_, err := io.Copy(io.Discard, body)
+		return reply, err
+	}
+	for {
+		var frame ReplyFrame
+		if err := decoder.Decode(&frame); err != nil {
+			return gatherer.SubReply{}, errors.Wrap(err, "decode part of a reply")
+		}
+		if frame.Last {
+			_, err := io.Copy(io.Discard, body)
+			return frame.Reply, err
+		}
+		onPart(frame.Reply)
+	}
+}
+
 // ProbePath is the URL path that daemons request to check whether they can reach each other.
 const ProbePath = "/v1/probe"
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -60,6 +60,8 @@
 	// once, also after OnAccepted has returned. If it has not been called when the response is complete,
 	// the connection is not reused.
 	OnAccepted func(confirm func())
+	// ReadBody, if not nil, reads the body of the response to its end as it arrives. Response.Body is then empty.
+	ReadBody func(h http.Header, body io.Reader) error
 }
 
 // confirmationByte is sent by the confirm function of Request.OnAccepted.
@@ -325,6 +327,22 @@
 	return resp, reusable, failure
 }
 
+// readBody reads the body of a response to its end.
+func readBody(r Request, resp *http.Response) ([]byte, error) {
+	limited := &io.LimitedReader{R: resp.Body, N: maxResponseBytes + 1}
+	var body []byte
+	var err error
+	if r.ReadBody != nil {
+		err = r.ReadBody(resp.Header, limited)
+	} else {
+		body, err = io.ReadAll(limited)
+	}
+	if err == nil && limited.N <= 0 {
+		err = errors.Errorf("answer body exceeds %d bytes", maxResponseBytes)
+	}
+	return body, err
+}
+
 // writeFailure returns the failure of a write after n bytes: without any bytes, the request did not run.
 func writeFailure(n int, err error) *tiller.Failure {
 	if n == 0 {
@@ -369,10 +387,7 @@
 		}
 		// Chunks of one byte are the longest encoding of a body.
 		c.received.N = maxHeadBytes + 8*maxResponseBytes
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-		if err == nil && len(body) > maxResponseBytes {
-			err = errors.Errorf("answer body exceeds %d bytes", maxResponseBytes)
-		}
+		body, err := readBody(r, resp)
 		if err != nil {
 			// Closing the body would read what is left of it.
 			_ = c.Close()
--- a/gatherer/arrive.go
+++ b/gatherer/arrive.go
@@ -62,7 +62,7 @@
 	}
 	q := &query{
 		id: e.Query, clientID: e.ID, digest: e.Digest, rank: rankOf(e.ID), version: s.Version(), isSubQuery: true, unconfirmed: true, extra: e.Extra, arrived: now,
-		answerBy: now + max(e.Target, 1), expiresAt: now + max(e.Target, e.Timeout, 1),
+		partAt: partTime(now, e), answerBy: now + max(e.Target, 1), expiresAt: now + max(e.Target, e.Timeout, 1),
 		topK: e.TopK, askerThreshold: e.Threshold, groups: e.Groups, needed: max(len(e.Shards)-e.AllowedMissing, 0),
 	}
 	q.route.Name = e.Route
--- a/gatherer/evaluate.go
+++ b/gatherer/evaluate.go
@@ -39,6 +39,9 @@
 		q.setTimeoutReasons()
 		s.refuse(now, q, tiller.ReasonTimeout, 0)
 	default:
+		if q.partAt > 0 && now >= q.partAt {
+			s.sendPart(now, q)
+		}
 		s.setTimer(now, q)
 	}
 }
@@ -129,7 +132,7 @@
 	s.finish(now, q, 0)
 }
 
-// assemble returns the answered shards and their topK greatest records.
+// assemble returns the answered shards that were not delivered yet and their topK greatest records.
 func (q *query) assemble() ([]Part, []byte) {
 	records := merger.NewRecords(q.topK)
 	parts := make([]Part, 0, q.answered)
@@ -137,7 +140,7 @@
 		records.Add(merged)
 	}
 	for _, sh := range q.shards {
-		if sh.status != shardAnswered {
+		if sh.status != shardAnswered || sh.delivered {
 			continue
 		}
 		parts = append(parts, Part{Shard: sh.service, Stamp: sh.stamp})
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -31,6 +31,8 @@
 	ID string
 	// Digest is the one of the client's request.
 	Digest uint64
+	// InParts is true if the requesting daemon accepts a reply in parts.
+	InParts bool
 	SubQuery
 }
 
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -37,6 +37,8 @@
 	sent int
 	// losses is the number of connections that were lost under the query.
 	losses int
+	// partAt is the time at which the first part of the reply is due; 0 if none is to be sent.
+	partAt tiller.Millis
 	// timerAt is the time of the query's timer; 0 when none is set.
 	timerAt tiller.Millis
 	topK    int
@@ -96,6 +98,8 @@
 	// sub-query are in query.merged.
 	stamp   string
 	records []byte
+	// delivered is true if the shard was in the first part of the reply.
+	delivered bool
 }
 
 type shardStatus uint8
--- a/gatherer/simulation_test.go
+++ b/gatherer/simulation_test.go
@@ -40,6 +40,8 @@
 	arrivals  map[string][]arrival
 	// extraReplies are the replies to sub-queries for shards to which a request was already sent.
 	extraReplies []gatherer.SubReply
+	// wholeReplies is true if sub-queries are answered as a whole.
+	wholeReplies bool
 	store        rolloutStore
 	// rolloutLog holds the decisions of all daemons on rollouts.
 	rolloutLog []string
@@ -55,6 +57,8 @@
 	pending    map[uint64]*pendingAttempt
 	// replyTo holds, by inbound sub-query, the function that delivers the reply.
 	replyTo map[uint64]func(gatherer.SubReply)
+	// partTo holds, by inbound sub-query, the function that delivers the first part of the reply.
+	partTo map[uint64]func(gatherer.SubReply)
 	// clientIDs maps each inbound sub-query to the client's request identifier.
 	clientIDs map[uint64]string
 	// resetInbound fails the sub-queries received from other daemons, as a lost connection does.
@@ -130,7 +134,7 @@
 		d := &daemon{
 			vm: fmt.Sprintf("vm-%d", i), region: regions[i%len(regions)],
 			pending: make(map[uint64]*pendingAttempt), replyTo: make(map[uint64]func(gatherer.SubReply)),
-			clientIDs: make(map[uint64]string),
+			partTo: make(map[uint64]func(gatherer.SubReply)), clientIDs: make(map[uint64]string),
 		}
 		d.state = gatherer.New(daemonSettings(d, seed+uint64(i)))
 		sim.daemons = append(sim.daemons, d)
@@ -310,6 +314,8 @@
 		sim.recordOutcome(e.ID, func(o *outcome) { o.passed = true })
 	case gatherer.Refuse:
 		sim.recordOutcome(e.ID, func(o *outcome) { o.refusal = &e })
+	case gatherer.ReplyPart:
+		d.partTo[e.Query](e.Reply)
 	case gatherer.ReplySub:
 		if reply := d.replyTo[e.Query]; reply != nil {
 			delete(d.replyTo, e.Query)
@@ -430,6 +436,8 @@
 	sim.schedule(e.Timeout, func() {
 		end(gatherer.SubQueryEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonTimeout, nil)})
 	})
+	// partAt is the time at which the first part of the reply arrives; the rest does not overtake it.
+	var partAt tiller.Millis
 	sim.schedule(delay(), func() {
 		peer.clientIDs[query] = id
 		peer.resetInbound = append(peer.resetInbound, func() {
@@ -439,11 +447,16 @@
 			if e.Extra {
 				sim.extraReplies = append(sim.extraReplies, r)
 			}
-			sim.schedule(delay(), func() { end(gatherer.SubQueryEnded{Reply: r}) })
+			sim.schedule(max(delay(), partAt-sim.now), func() { end(gatherer.SubQueryEnded{Reply: r}) })
+		}
+		peer.partTo[query] = func(r gatherer.SubReply) {
+			wait := networkDelay(d.region, peer.region) + max(d.maxExtraDelay, peer.maxExtraDelay)/2
+			partAt = sim.now + wait
+			sim.schedule(wait, func() { sim.step(d, gatherer.SubQueryPart{Attempt: e.Attempt, Reply: r}) })
 		}
 		if !peer.crashed {
 			sim.schedule(delay(), func() { sim.step(d, gatherer.SubQueryAccepted{Attempt: e.Attempt}) })
 		}
-		sim.step(peer, gatherer.SubQueryArrived{Query: query, ID: "sub of " + id, Digest: sim.digests[id], SubQuery: e.SubQuery})
+		sim.step(peer, gatherer.SubQueryArrived{Query: query, ID: "sub of " + id, Digest: sim.digests[id], InParts: !sim.wholeReplies, SubQuery: e.SubQuery})
 	})
 }
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -157,6 +157,8 @@
 		s.endAttempt(now, e)
 	case SubQueryEnded:
 		s.endSubQuery(now, e)
+	case SubQueryPart:
+		s.receivePart(now, e)
 	case SubQueryAccepted:
 		s.subQueryAccepted(e)
 	case SubQueryConfirmed:
--- a/gatherer/threshold.go
+++ b/gatherer/threshold.go
@@ -29,7 +29,7 @@
 			records.Add(sh.records)
 		}
 	}
-	q.ownThreshold = records.Threshold()
+	q.ownThreshold = greater(q.ownThreshold, records.Threshold())
 	return greater(q.ownThreshold, q.askerThreshold)
 }
 
--- a/gatherer/timer.go
+++ b/gatherer/timer.go
@@ -58,6 +58,9 @@
 	if q.answerBy > now && q.answerBy < at {
 		at = q.answerBy
 	}
+	if q.partAt > 0 {
+		at = min(at, q.partAt)
+	}
 	for _, sh := range q.shards {
 		if sh.status == shardOpen && sh.checkAt > 0 && sh.checkAt < at {
 			at = sh.checkAt
--- a/receiver/peer.go
+++ b/receiver/peer.go
@@ -20,8 +20,14 @@
 // maxSubQueryBytes bounds an encoded sub-query, which contains the client's body. That body has a limit of its own.
 const maxSubQueryBytes = 4 << 20
 
-// subQueryResponseHeader is the header of the response to a sub-query. It is sent before gathering starts.
-const subQueryResponseHeader = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+// subQueryResponseHeader returns the header of the response to a sub-query. It is sent before gathering starts.
+func subQueryResponseHeader(inParts bool) []byte {
+	header := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+	if inParts {
+		header += executor.PartsHeader + ": 1\r\n"
+	}
+	return []byte(header + "\r\n")
+}
 
 // ServeSubQuery serves the sub-queries that another daemon sends sequentially over one connection. The
 // response header signals that the sub-query was accepted. The other daemon sends one byte to confirm that
@@ -40,9 +46,10 @@
 	}
 	defer func() { _ = conn.Close() }()
 	p := &peerConnection{receiver: h, conn: conn, reader: buffered.Reader}
+	inParts := r.Header.Get(executor.PartsHeader) != ""
 	for err == nil {
-		if err = p.serve(message); err == nil {
-			message, err = p.readNext()
+		if err = p.serve(message, inParts); err == nil {
+			message, inParts, err = p.readNext()
 		}
 	}
 }
@@ -71,8 +78,8 @@
 }
 
 // serve gathers one sub-query. After an error the connection must not be used again.
-func (p *peerConnection) serve(m executor.SubQuery) error {
-	if _, err := p.conn.Write([]byte(subQueryResponseHeader)); err != nil {
+func (p *peerConnection) serve(m executor.SubQuery, inParts bool) error {
+	if _, err := p.conn.Write(subQueryResponseHeader(inParts)); err != nil {
 		return err
 	}
 	// If this daemon was suspended, the other may have closed the connection and replaced the sub-query. In
@@ -81,9 +88,9 @@
 		return io.EOF
 	}
 	x := p.receiver.executor
-	t := x.SubmitSub(m.Request, gatherer.SubQueryArrived{SubQuery: m.Terms})
+	t := x.SubmitSub(m.Request, gatherer.SubQueryArrived{SubQuery: m.Terms, InParts: inParts})
 	written := make(chan error, 1)
-	go func() { written <- p.writeReply(<-t.Done) }()
+	go func() { written <- p.writeReply(t, inParts) }()
 	err := p.confirmAndAwaitNext(x, t)
 	if err != nil {
 		x.Abandon(t)
@@ -106,28 +113,61 @@
 }
 
 // readNext reads the next sub-query from the connection.
-func (p *peerConnection) readNext() (executor.SubQuery, error) {
+func (p *peerConnection) readNext() (m executor.SubQuery, inParts bool, err error) {
 	r, err := http.ReadRequest(p.reader)
 	if err != nil {
-		return executor.SubQuery{}, err
+		return m, false, err
 	}
-	return readSubQuery(r)
+	m, err = readSubQuery(r)
+	return m, r.Header.Get(executor.PartsHeader) != "", err
 }
 
-// writeReply writes the body of the response. For a refused sub-query it replies NoCapacity.
-func (p *peerConnection) writeReply(o executor.Outcome) error {
+// writeReply writes the body of the response, in parts if inParts is true. For a refused sub-query it replies
+// NoCapacity.
+func (p *peerConnection) writeReply(t *executor.QueryHandle, inParts bool) error {
+	var o executor.Outcome
+	var part *gatherer.SubReply
+	select {
+	case r := <-t.Part:
+		part = &r
+	case o = <-t.Done:
+		select {
+		case r := <-t.Part:
+			part = &r
+		default:
+		}
+	}
+	if part != nil {
+		if err := p.writeChunk(executor.ReplyFrame{Reply: *part}, ""); err != nil {
+			return err
+		}
+	}
+	if o == (executor.Outcome{}) {
+		o = <-t.Done
+	}
 	reply := gatherer.SubReply{NoCapacity: true}
 	if o.SubReply != nil {
 		reply = *o.SubReply
 	}
-	body, err := cbor.Marshal(reply)
+	if !inParts {
+		return p.writeChunk(reply, lastChunk)
+	}
+	return p.writeChunk(executor.ReplyFrame{Last: true, Reply: reply}, lastChunk)
+}
+
+// lastChunk ends a chunked body.
+const lastChunk = "0\r\n\r\n"
+
+// writeChunk writes the encoding of v as one chunk, followed by the end of the body if it is the last one.
+func (p *peerConnection) writeChunk(v any, end string) error {
+	body, err := cbor.Marshal(v)
 	if err != nil {
 		// The other daemon treats a closed connection as a failure.
 		_ = p.conn.Close()
 		return errors.Wrap(err, "encode sub-query reply")
 	}
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	fmt.Fprintf(&b, "%x\r\n%s\r\n%s", len(body), body, end)
 	_, err = p.conn.Write(b.Bytes())
 	return err
 }
