--- a/gatherer/deadline.go
+++ b/gatherer/deadline.go
@@ -5,7 +5,7 @@
 const (
 	// answerMarginMillis is reserved for the network time from the client and back (3 ms each in the users'
 	// deployments), for assembling the answer on the smallest VMs and for late timers.
-	answerMarginMillis = 13
+	answerMarginMillis = 13 * tiller.Millis(1)
 	// newConnectionMillis is also reserved if the client first had to open its connection.
 	newConnectionMillis = 7
 	// endMarginMillis is reserved so that a refusal reaches the client before it gives up: the network time of
@@ -54,7 +54,7 @@
 		wait = 30 * tiller.Second
 	}
 	q.expiresAt = q.arrived + max(wait-endMarginMillis, 1)
-	margin := tiller.Millis(answerMarginMillis)
+	margin := answerMarginMillis + s.lateness.margin(q.arrived)
 	if e.NewConnection {
 		margin += newConnectionMillis
 	}
--- a/gatherer/effect.go
+++ b/gatherer/effect.go
@@ -59,6 +59,8 @@
 	Stamps  []string
 	Missing int
 	Records []byte
+	// Due is the time from which the answer was sent although shards were missing.
+	Due tiller.Millis
 	Decision
 }
 
--- a/gatherer/evaluate.go
+++ b/gatherer/evaluate.go
@@ -94,7 +94,7 @@
 		stamps = append(stamps, p.Stamp)
 	}
 	s.emit(ReplyGathered{
-		Query: q.id, Stamps: stamps, Missing: len(q.shards) - q.answered, Records: records, Decision: q.decision(now),
+		Query: q.id, Stamps: stamps, Missing: len(q.shards) - q.answered, Records: records, Due: q.answerBy, Decision: q.decision(now),
 	})
 	s.finish(now, q, lingerMillis)
 }
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -80,7 +80,9 @@
 	backgroundAt tiller.Millis
 	latencies    map[latencyKey]*hedger.Latency
 	pauses       *balancer.PausePredictor
-	effects      []Effect
+	// lateness is how late gathered answers were written recently.
+	lateness lateness
+	effects  []Effect
 }
 
 // upstream is a known upstream and its measured state.
@@ -195,6 +197,8 @@
 		s.publishedRollout(now, e.Status)
 	case UpstreamProbed:
 		s.endUpstreamProbe(now, e)
+	case AnswerWritten:
+		s.recordWritten(now, e)
 	case ReportReceived:
 		s.receiveReport(now, e.Report)
 	case ReportLost:
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -114,6 +114,7 @@
 		h.codec.SetGathered(w.Header(), o.Gathered.Stamps, o.Gathered.Missing)
 		writeBody(w, http.StatusOK, "application/octet-stream", o.Gathered.Records)
 	case o.Refused != nil:
+		h.executor.Step(gatherer.AnswerWritten{Due: o.Gathered.Due})
 		if o.Refused.RetryAfter > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(float64(o.Refused.RetryAfter)/1000, 'f', -1, 64))
 		}
