Pause between the entries of a large update

Cause: when the index is cut anew, more than 800 entries change at once.

Change: a pause of 1 ms after each 16 entries, not at the start.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -30,6 +30,10 @@
 	// jitter.
 	retryMillis    = 100
 	maxRetryMillis = 400
+	// applyBatch entries are applied at a time, with a pause of applyPauseMillis after them. When hundreds of upstreams
+	// change at once, a weak VM would otherwise serve no query meanwhile.
+	applyBatch       = 16
+	applyPauseMillis = 1
 	// reregisterMillis is the time after a store outage within which running upstreams have registered
 	// again. The platform states about two seconds.
 	reregisterMillis = 2200
@@ -44,6 +48,8 @@
 	log     logr.Logger
 	regions map[string]string
 	self    cataloger.Member
+	// pause lets queries be served between two batches of entries.
+	pause func()
 	// seeds are the addresses of daemons that may hand this one the entries at its start.
 	seeds []string
 	emit  func(gatherer.Event)
@@ -76,6 +82,7 @@
 	graceEnd atomic.Int64
 	mu       sync.Mutex
 	encoded  encodedUpdate
+
 	// contactAt is the time of the store's last answer to this daemon or to a daemon that it follows.
 	contactAt atomic.Int64
 }
@@ -96,6 +103,7 @@
 	return &Follower{
 		clock: clock, store: store, client: client, log: log, regions: regions, self: self, seeds: seeds,
 		emit: callbacks.Emit, entryRemoved: callbacks.Lost, timing: timing,
+		pause:         func() { time.Sleep(applyPauseMillis * time.Millisecond) },
 		table:         NewTable(),
 		members:       make(map[string]cataloger.Member),
 		missingUntil:  make(map[string]tiller.Millis),
@@ -211,9 +219,12 @@
 // known entries that are not among them are removed.
 func (f *Follower) applyAll(items []platform.Item, revision int64, whole bool) {
 	seen := make(map[string]bool, len(items))
-	for _, item := range items {
+	for i, item := range items {
 		seen[item.Key] = true
 		f.apply(item)
+		if i%applyBatch == applyBatch-1 && f.table.Revision() > 0 {
+			f.pause()
+		}
 	}
 	if whole {
 		for _, key := range f.table.Missing(seen, revision) {
