Place and refuse queries by what a daemon reaches and can bear

Cause: (1) with many shards in a small fleet each daemon asked its region's upstreams itself: 180 ms of processor time on 0.12 of a core. Groups of 48 made one weak VM gather a whole failure domain's part. (2) When both gatherers of a group are unreachable, the asking daemon asked the shards itself. (3) A busy daemon sees all acceptances late, takes all others for silent and spends its retry budget. (4) A new set of shards was connected by the first queries.

Change: (1) more than 60 shards are always divided, in groups of 24. (2) The next ranked daemon takes an unreachable one's place. (3) If most daemons seem silent at once they get their time a second time. (4) Connections are opened when a configuration names new shards, by their gatherers.

--- a/cataloger/configuration.go
+++ b/cataloger/configuration.go
@@ -34,6 +34,8 @@
 	Limits   Limits
 	services map[string]Service
 	hosts    map[string][]Route
+	// used holds the services that a route names.
+	used map[string]bool
 	// shards maps each service that is a shard to the number of shards of its route.
 	shards map[string]int
 }
@@ -45,6 +47,7 @@
 		Limits:   limits,
 		services: make(map[string]Service, len(services)),
 		hosts:    make(map[string][]Route),
+		used:     make(map[string]bool),
 		shards:   make(map[string]int),
 	}
 	for _, s := range services {
@@ -55,6 +58,10 @@
 		c.hosts[host] = append(c.hosts[host], r)
 		for _, shard := range r.Shards {
 			c.shards[shard] = len(r.Shards)
+			c.used[shard] = true
+		}
+		for _, w := range r.Services {
+			c.used[w.Service] = true
 		}
 	}
 	for _, routes := range c.hosts {
@@ -87,10 +94,26 @@
 	return Service{Name: name}
 }
 
+// Uses reports whether any route names the service.
+func (c *Configuration) Uses(service string) bool { return c.used[service] }
+
 // ShardCount returns the number of shards of the route that the service is a shard of, or 0 if it is
 // not a shard.
 func (c *Configuration) ShardCount(service string) int { return c.shards[service] }
 
+// Sharded returns the routes whose requests are sent to shards, in no order.
+func (c *Configuration) Sharded() []Route {
+	var sharded []Route
+	for _, routes := range c.hosts {
+		for _, r := range routes {
+			if r.IsSharded() {
+				sharded = append(sharded, r)
+			}
+		}
+	}
+	return sharded
+}
+
 // Routes returns the number of routes.
 func (c *Configuration) Routes() int {
 	n := 0
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -135,6 +135,9 @@
 	x.step(e)
 }
 
+// Now returns the time of the executor's clock.
+func (x *Executor) Now() tiller.Millis { return x.clock.Now() }
+
 // Read calls f with the state under the lock. f must not retain the state.
 func (x *Executor) Read(f func(*gatherer.State)) {
 	x.mu.Lock()
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -72,6 +72,7 @@
 	g.receiver = receiver.New(g.executor, receiver.Codec{
 		RequestID: platform.RequestID, Deadline: platform.RequestTimeout, SetGathered: platform.SetGatheredHeaders,
 	}, g.limits, g.observer.recordRejection)
+	g.observer.regained = func(silent tiller.Millis) { g.receiver.Rebalance(clock.Now(), silent) }
 	self := cataloger.Member{
 		VM: s.VM, Address: g.peerAddress(), Domain: s.Domain, Region: s.Region, Power: s.Power, Incarnation: incarnation,
 	}
@@ -117,7 +118,7 @@
 // upstreams, and is not stopping.
 func (g *Gatekeeper) IsReady() bool {
 	ready := false
-	g.executor.Read(func(s *gatherer.State) { ready = s.IsReady() })
+	g.executor.Read(func(s *gatherer.State) { ready = s.IsReady(g.clock.Now()) })
 	return ready && !g.stopping.Load()
 }
 
@@ -126,7 +127,7 @@
 func (g *Gatekeeper) Run(ctx context.Context) error {
 	front := &http.Server{
 		Handler: g.receiver, ReadHeaderTimeout: headerTimeoutMillis.Duration(), MaxHeaderBytes: maxHeaderBytes,
-		ConnState: g.connections.Track, ConnContext: receiver.ConnContext,
+		ConnState: g.connections.Track, ConnContext: g.connections.ConnContext,
 	}
 	servers := []struct {
 		address string
--- a/gatekeeper/observer.go
+++ b/gatekeeper/observer.go
@@ -12,7 +12,9 @@
 
 // observer counts and logs the daemon's decisions and its requests to upstreams.
 type observer struct {
-	log             logr.Logger
+	log logr.Logger
+	// regained is called when contact with a failure domain is regained after a time.
+	regained        func(silent tiller.Millis)
 	registry        metrics.Registry
 	queryLatency    metrics.Histogram
 	upstreamLatency metrics.Histogram
@@ -30,6 +32,7 @@
 	metrics.NewRegisteredFunctionalGauge("Log.Dropped", r, droppedLines)
 	return &observer{
 		log:             log,
+		regained:        func(tiller.Millis) {},
 		registry:        r,
 		queryLatency:    metrics.GetOrRegisterHistogram("Query.Millis", r, metrics.NewExpDecaySample(reservoirSize, 0.015)),
 		upstreamLatency: metrics.GetOrRegisterHistogram("Upstream.Millis", r, metrics.NewExpDecaySample(reservoirSize, 0.015)),
@@ -71,6 +74,12 @@
 	case gatherer.UpstreamLimited:
 		o.count("Upstream.LimitChanges")
 		o.log.Info("Limit of an upstream changed", "Upstream", e.Upstream, "PerSecond", e.PerSecond, "Share", e.Share)
+	case gatherer.DomainCut:
+		o.count("Domain.Cuts")
+		o.log.Info("Contact with a failure domain changed", "Domain", e.Domain, "Cut", e.Cut, "Silent", e.Silent)
+		if !e.Cut {
+			o.regained(e.Silent)
+		}
 	case gatherer.ProbeUpstream:
 		o.count("Upstream.Probes")
 	case gatherer.PublishRollout:
--- a/gatherer/arrive.go
+++ b/gatherer/arrive.go
@@ -8,6 +8,9 @@
 // configuration is usually known within this time.
 const retryAfterMillis = 250
 
+// otherDaemonMillis is the retry hint of refusals of a daemon that is cut off. Another daemon can serve at once.
+const otherDaemonMillis = 10
+
 // admitQuery starts a client's request, or refuses it at once if it cannot be served.
 func (s *State) admitQuery(now tiller.Millis, e QueryArrived) {
 	if s.configuration == nil {
@@ -98,6 +101,7 @@
 // startQuery refuses a client's query that cannot reach its required coverage. It sends the first requests
 // of any other query.
 func (s *State) startQuery(now tiller.Millis, q *query) {
+	q.cut = s.cutDomains(now)
 	servable := 0
 	for _, sh := range q.shards {
 		if s.isServable(now, sh) {
@@ -111,9 +115,16 @@
 			reason = s.noUpstreamReason(now, q.shards[0].service)
 			retryAfter = s.limitRetryAfter(q.shards[0].service)
 		}
+		if q.cut != nil {
+			reason, retryAfter = tiller.ReasonCutOff, otherDaemonMillis
+		}
 		s.refuse(now, q, reason, retryAfter)
 		return
 	}
+	if s.isIsolated(now) && !q.isSubQuery && s.exceedsPower(s.strayShards(now, q.route), q.answerBy-now) {
+		s.refuse(now, q, tiller.ReasonCutOff, otherDaemonMillis)
+		return
+	}
 	s.sendInitial(now, q)
 	s.evaluate(now, q)
 }
@@ -121,7 +132,7 @@
 // isServable reports whether any upstream may take a shard.
 func (s *State) isServable(now tiller.Millis, sh *shard) bool {
 	for _, u := range s.upstreamsByService[sh.service] {
-		if s.isUsable(u, sh.query.route) && s.allowsVersion(now, u, s.wantsCanary(now, sh)) && !u.isUnreachable(now) && s.admitsCold(now, u) && s.admitsLimit(now, u) {
+		if s.isUsable(u, sh.query.route) && s.allowsVersion(now, u, s.wantsCanary(now, sh)) && !u.isUnreachable(now) && !sh.query.cut[u.Domain] && s.admitsCold(now, u) && s.admitsLimit(now, u) {
 			return true
 		}
 	}
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -62,6 +62,9 @@
 		stat.Failed(now, a.id)
 	}
 	s.updateReachability(now, a, e)
+	if e.Failure == nil || isSilence(e.Failure.Reason, now-a.sent) {
+		s.recordContact(now, a.upstream.Domain, a.upstream.ID, e.Failure == nil)
+	}
 }
 
 // classify returns an empty reason if an answer may be used. Otherwise it returns whether the request may have
--- a/gatherer/choose.go
+++ b/gatherer/choose.go
@@ -117,7 +117,7 @@
 	near.cost, far.cost = math.Inf(1), math.Inf(1)
 	failure := s.failureCost(sh)
 	for _, u := range s.upstreamsByService[sh.service] {
-		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || !s.allowsVersion(now, u, sh.canary) || sh.canary && !s.admitsCanary(now, u) || u.isUnreachable(now) || !s.admitsCold(now, u) || !s.admitsLimit(now, u) {
+		if !s.isUsable(u, sh.query.route) || sh.hasTried(u) != again || !s.allowsVersion(now, u, sh.canary) || sh.canary && !s.admitsCanary(now, u) || u.isUnreachable(now) || sh.query.cut[u.Domain] || !s.admitsCold(now, u) || !s.admitsLimit(now, u) {
 			continue
 		}
 		c := candidate{upstream: u, cost: s.cost(now, u, sh.query, failure)}
--- a/gatherer/gatherers.go
+++ b/gatherer/gatherers.go
@@ -12,10 +12,16 @@
 const (
 	// groupShards is the number of a query's shards for which there is one group in each failure domain of a large
 	// fleet. With more shards in a group the loss of its daemon costs more; with fewer there are more sub-queries.
-	groupShards = 48
+	groupShards = 24
+	// maxDirectShards is the number of shards of a query up to which a daemon requests them itself. More take the
+	// processor of a weak VM longer than the upstreams take to answer.
+	maxDirectShards = 60
 	// gatherersPerGroup is the number of daemons of a failure domain that may gather a group: the first choice
 	// and a standby.
 	gatherersPerGroup = 2
+	// rankedPerGroup is the number of daemons that are ranked for a group. Those after the first gatherersPerGroup
+	// take the places of unreachable ones.
+	rankedPerGroup = 6
 	// rankPenaltyMillis is the added cost of the standby, whose connections are used less.
 	rankPenaltyMillis = 8.0
 	// nearPeerLatencyMillis and farPeerLatencyMillis are the latencies assumed for a sub-query in this region
@@ -36,12 +42,15 @@
 }
 
 // isGrouped reports whether the shards of a query are divided into groups that daemons gather for each other.
-// In a small fleet, each daemon has enough connections to request the shards from the upstreams of its region
-// itself.
+// With few shards in a small fleet, each daemon has enough connections and processor time to request the shards from
+// the upstreams of its region itself.
 func (s *State) isGrouped(service string) bool {
 	if s.configuration == nil {
 		return false
 	}
+	if s.configuration.ShardCount(service) > maxDirectShards {
+		return true
+	}
 	limit := s.configuration.Service(service).MaxConnections
 	return limit > 0 && s.fleet.share(float64(limit)) < minConnections
 }
@@ -54,9 +63,15 @@
 	return int(xxhash.Sum64String(service) % uint64(max(groups, 1)))
 }
 
-// gatherers returns the daemons of a failure domain that may gather a group, the preferred one first. This
+// gatherers returns the daemons of a failure domain that regularly gather a group, the preferred one first. This
 // daemon is represented by nil.
 func (s *State) gatherers(key groupKey) []*peer {
+	ranked := s.rankedGatherers(key)
+	return ranked[:min(len(ranked), gatherersPerGroup)]
+}
+
+// rankedGatherers returns the daemons of a failure domain that may gather a group, in order of preference.
+func (s *State) rankedGatherers(key groupKey) []*peer {
 	if known, ok := s.gatherersByGroup[key]; ok {
 		return known
 	}
@@ -74,8 +89,8 @@
 		}
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].score > all[j].score })
-	preferred := make([]*peer, 0, gatherersPerGroup)
-	for _, r := range all[:min(len(all), gatherersPerGroup)] {
+	preferred := make([]*peer, 0, rankedPerGroup)
+	for _, r := range all[:min(len(all), rankedPerGroup)] {
 		preferred = append(preferred, r.peer)
 	}
 	s.gatherersByGroup[key] = preferred
@@ -119,7 +134,7 @@
 
 // mayUsePeer reports whether sub-queries of a query may go to another daemon.
 func (s *State) mayUsePeer(now tiller.Millis, p *peer, q *query) bool {
-	if p.Leaving || p.unreachable || now < p.rejectsUntil || !q.route.Allows(p.Region) {
+	if p.Leaving || p.unreachable || s.isIsolated(now) || now < p.rejectsUntil || !q.route.Allows(p.Region) {
 		return false
 	}
 	return !p.stat.Stalled(now, s.expectedPeerLatency(p))
@@ -136,11 +151,21 @@
 func (s *State) cheapestGatherer(now tiller.Millis, q *query, u *upstream, except *peer) (rankedPeer, bool) {
 	best := rankedPeer{cost: math.Inf(1)}
 	found := false
+	usable, limit := 0, math.MaxInt
+	if s.isGrouped(u.Service) {
+		limit = gatherersPerGroup
+	}
 	for rank, p := range s.gathererCandidates(u, q.groups) {
 		if p == nil {
 			// This daemon needs no sub-query.
 			return rankedPeer{}, true
 		}
+		if p.unreachable || p.Leaving {
+			continue
+		}
+		if usable++; usable > limit {
+			break
+		}
 		if p == except || !s.mayUsePeer(now, p, q) {
 			continue
 		}
@@ -155,7 +180,7 @@
 // preference. groups is the number of groups that the shards of the query are divided into.
 func (s *State) gathererCandidates(u *upstream, groups int) []*peer {
 	if s.isGrouped(u.Service) {
-		return s.gatherers(groupKey{u.Domain, groupOf(u.Service, groups)})
+		return s.rankedGatherers(groupKey{u.Domain, groupOf(u.Service, groups)})
 	}
 	if u.Region == s.settings.Region {
 		return []*peer{nil}
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -62,7 +62,7 @@
 	q := sh.query
 	best := rankedPeer{cost: math.Inf(1)}
 	for _, u := range s.upstreamsByService[sh.service] {
-		if !s.isUsable(u, q.route) || !s.allowsVersion(now, u, false) || u.isUnreachable(now) || now < u.cold.until || !s.admitsLimit(now, u) {
+		if !s.isUsable(u, q.route) || !s.allowsVersion(now, u, false) || u.isUnreachable(now) || q.cut[u.Domain] || now < u.cold.until || !s.admitsLimit(now, u) {
 			continue
 		}
 		key := groupKey{u.Domain, groupOf(sh.service, q.groups)}
@@ -212,6 +212,7 @@
 		sh.arrivals++
 	}
 	q.sent++
+	q.subQueries++
 	p.stat.Sent(now, a.id)
 	s.emit(SendSubQuery{Query: q.id, Attempt: a.id, Member: p.Member, SubQuery: sub})
 }
--- a/gatherer/preconnect.go
+++ b/gatherer/preconnect.go
@@ -8,9 +8,7 @@
 // settleFleet opens connections ahead of the first requests.
 func (s *State) settleFleet() {
 	s.settled = true
-	for _, u := range s.upstreams {
-		s.preconnect(u)
-	}
+	s.preconnectUpstreams()
 	s.preconnectPeers()
 }
 
@@ -28,11 +26,26 @@
 	}
 }
 
+// preconnectUpstreams opens connections to the upstreams that this daemon has come to send requests to, for example
+// because a configuration names another set of shards.
+func (s *State) preconnectUpstreams() {
+	if !s.settled {
+		return
+	}
+	for _, u := range s.upstreams {
+		s.preconnect(u)
+	}
+}
+
 // preconnect opens connections to an upstream in this region that this daemon will send requests to.
 func (s *State) preconnect(u *upstream) {
+	if u.preconnected || s.configuration == nil || !s.configuration.Uses(u.Service) {
+		return
+	}
 	if u.Region != s.settings.Region || u.Draining || s.isGrouped(u.Service) && u.Domain != s.settings.Domain || !s.isGatherer(u.Service, s.groupCountOf(u.Service)) {
 		return
 	}
+	u.preconnected = true
 	s.emit(PreconnectUpstream{Upstream: u.Upstream, Connections: preconnectCount})
 }
 
@@ -46,7 +59,11 @@
 		if u.Region == s.settings.Region || s.configuration.ShardCount(u.Service) == 0 {
 			continue
 		}
-		for _, p := range s.gathererCandidates(u, s.groupCountOf(u.Service)) {
+		candidates := s.gathererCandidates(u, s.groupCountOf(u.Service))
+		if s.isGrouped(u.Service) {
+			candidates = candidates[:min(len(candidates), gatherersPerGroup)]
+		}
+		for _, p := range candidates {
 			if p == nil || p.preconnected || p.unreachable {
 				continue
 			}
--- a/gatherer/probe.go
+++ b/gatherer/probe.go
@@ -40,11 +40,12 @@
 
 // endProbe resumes sending sub-queries to a daemon that was reached. Otherwise it doubles the delay, up to
 // maxProbeMillis, and probes again.
-func (s *State) endProbe(e PeerProbed) {
+func (s *State) endProbe(now tiller.Millis, e PeerProbed) {
 	p, ok := s.peers[e.Member.VM]
 	if !ok || p.Member != e.Member {
 		return
 	}
+	s.recordPeerContact(now, p, e.Reached)
 	if e.Reached {
 		p.unreachable = false
 		s.preconnectPeers()
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -35,6 +35,11 @@
 	needed   int
 	// sent is the number of requests and sub-queries sent.
 	sent int
+	// cut holds the failure domains that the query must not use, because this daemon was cut off from them when it
+	// arrived.
+	cut map[string]bool
+	// subQueries is the number of sub-queries sent, accepted that of those that other daemons have started.
+	subQueries, accepted int
 	// losses is the number of connections that were lost under the query.
 	losses int
 	// partAt is the time at which the first part of the reply is due; 0 if none is to be sent.
@@ -126,6 +131,8 @@
 	extra bool
 	// accepted is true if the other daemon has started the sub-query.
 	accepted bool
+	// extended is true if the other daemon was given more time to start the sub-query.
+	extended bool
 	// acceptBy is the time by which the other daemon must have started the sub-query.
 	acceptBy tiller.Millis
 	sent     tiller.Millis
--- a/gatherer/route_test.go
+++ b/gatherer/route_test.go
@@ -315,8 +315,8 @@
 	}
 	for _, e := range events {
 		state.Step(1, e)
-		require.False(t, state.IsReady())
+		require.False(t, state.IsReady(1))
 	}
 	state.Step(1, gatherer.StoreRead{})
-	require.True(t, state.IsReady())
+	require.True(t, state.IsReady(1))
 }
--- a/gatherer/share_test.go
+++ b/gatherer/share_test.go
@@ -17,7 +17,7 @@
 		domain := fmt.Sprintf("d-%d", i%6)
 		members = append(members, cataloger.Member{VM: fmt.Sprintf("vm-%d", i), Address: "a", Domain: domain, Region: domain[:3], Power: 100 + i/6%3*300})
 	}
-	route := cataloger.Route{Name: "r", Host: "h", Prefix: "/", Attempts: 2, Repeatable: true}
+	route := cataloger.Route{Name: "r", Host: "h", Prefix: "/", Attempts: 2, Repeatable: true, Target: 120}
 	var services []cataloger.Service
 	for i := range 90 {
 		route.Shards = append(route.Shards, fmt.Sprintf("s-%d", i))
--- a/gatherer/simulation_test.go
+++ b/gatherer/simulation_test.go
@@ -40,6 +40,8 @@
 	arrivals  map[string][]arrival
 	// extraReplies are the replies to sub-queries for shards to which a request was already sent.
 	extraReplies []gatherer.SubReply
+	// cutRegion is a region from and to which nothing passes; empty if there is none.
+	cutRegion string
 	// wholeReplies is true if sub-queries are answered as a whole.
 	wholeReplies bool
 	store        rolloutStore
@@ -155,7 +157,7 @@
 
 func daemonSettings(d *daemon, seed uint64) gatherer.Settings {
 	return gatherer.Settings{
-		VM: d.vm, Region: d.region, Seed: seed,
+		VM: d.vm, Domain: d.region + "-a", Region: d.region, Seed: seed,
 		Bounds: cataloger.Bounds{
 			RetryRatio: retryRatio, RetrySlack: retrySlack, ColdOverage: coldOverage, ColdSlack: coldSlack,
 			CanaryShare: canaryShare, CanarySlack: canarySlack,
@@ -164,7 +166,7 @@
 }
 
 func (d *daemon) member() cataloger.Member {
-	return cataloger.Member{VM: d.vm, Address: d.vm, Region: d.region}
+	return cataloger.Member{VM: d.vm, Address: d.vm, Domain: d.region + "-a", Region: d.region}
 }
 
 // addUpstream adds upstream j of a shard. Its region is offset positions after that of the shard's first
@@ -269,6 +271,11 @@
 	}
 }
 
+// isCut reports whether nothing passes between two regions.
+func (sim *simulation) isCut(from, to string) bool {
+	return from != to && (from == sim.cutRegion || to == sim.cutRegion)
+}
+
 func networkDelay(from, to string) tiller.Millis {
 	if from == to {
 		return 1
@@ -294,7 +301,7 @@
 		sim.schedule(e.After+interRegionDelayMillis, func() {
 			reached := false
 			for _, other := range sim.daemons {
-				reached = reached || other.vm == e.Member.VM && !other.crashed
+				reached = reached || other.vm == e.Member.VM && !other.crashed && !sim.isCut(d.region, other.region)
 			}
 			sim.step(d, gatherer.PeerProbed{Member: e.Member, Reached: reached})
 		})
@@ -375,6 +382,9 @@
 	}
 	d.pending[e.Attempt] = &pendingAttempt{cancel: func() { abandon(tiller.ReasonCancelled) }}
 	sim.schedule(e.Timeout, func() { abandon(tiller.ReasonTimeout) })
+	if sim.isCut(d.region, s.Region) {
+		return
+	}
 	sim.schedule(networkDelay(d.region, s.Region), func() {
 		if sim.now < s.downUntil {
 			refused := gatherer.AttemptEnded{Failure: tiller.NewFailure(tiller.NotRun, tiller.ReasonConnectFailed, nil)}
@@ -436,6 +446,9 @@
 	sim.schedule(e.Timeout, func() {
 		end(gatherer.SubQueryEnded{Failure: tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonTimeout, nil)})
 	})
+	if sim.isCut(d.region, peer.region) {
+		return
+	}
 	// partAt is the time at which the first part of the reply arrives; the rest does not overtake it.
 	var partAt tiller.Millis
 	sim.schedule(delay(), func() {
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -82,7 +82,13 @@
 	pauses       *balancer.PausePredictor
 	// lateness is how late gathered answers were written recently.
 	lateness lateness
-	effects  []Effect
+	// contacts holds, by failure domain, the requests that it did not answer since its last answer. peerContact is
+	// the same for all other daemons together; nil if the last one asked has answered.
+	contacts map[string]*contact
+	// trialAt is the time from which one query may use failure domains that are cut off.
+	trialAt     tiller.Millis
+	peerContact *contact
+	effects     []Effect
 }
 
 // upstream is a known upstream and its measured state.
@@ -93,6 +99,8 @@
 	cold         coldAllowance
 	reachability reachability
 	limit        requestLimit
+	// preconnected is true if connections to the upstream were opened ahead of requests.
+	preconnected bool
 	// misdirected is true if another process answered at the upstream's address.
 	misdirected bool
 	// heldUntil is the time until which the upstream's version waits for an order to roll it out.
@@ -141,6 +149,7 @@
 		unclear:            make(map[string]*unclearLoss),
 		latencies:          make(map[latencyKey]*hedger.Latency),
 		pauses:             balancer.NewPausePredictor(),
+		contacts:           make(map[string]*contact),
 	}
 }
 
@@ -162,11 +171,11 @@
 	case SubQueryPart:
 		s.receivePart(now, e)
 	case SubQueryAccepted:
-		s.subQueryAccepted(e)
+		s.subQueryAccepted(now, e)
 	case SubQueryConfirmed:
 		s.subQueryConfirmed(now, e.Query)
 	case PeerProbed:
-		s.endProbe(e)
+		s.endProbe(now, e)
 	case FleetSettled:
 		s.settleFleet()
 	case StoreRead:
@@ -175,6 +184,7 @@
 		s.scheduleBackground(now)
 	case ConfigurationChanged:
 		s.applyConfiguration(e.Configuration)
+		s.preconnectUpstreams()
 		s.preconnectPeers()
 	case UpstreamChanged:
 		s.updateUpstream(now, e.Upstream)
@@ -182,6 +192,7 @@
 		s.removeUpstream(e.ID)
 	case MembersChanged:
 		s.updateMembers(now, e.Members)
+		s.preconnectUpstreams()
 		s.preconnectPeers()
 	case BoundsChanged:
 		s.updateBounds(e.Bounds)
@@ -287,9 +298,9 @@
 }
 
 // IsReady reports whether the daemon can serve: it has read the whole store and knows a configuration and
-// at least one upstream.
-func (s *State) IsReady() bool {
-	return s.storeRead && s.configuration != nil && len(s.upstreams) > 0
+// at least one upstream, and it is not cut off.
+func (s *State) IsReady(now tiller.Millis) bool {
+	return s.storeRead && s.configuration != nil && len(s.upstreams) > 0 && !s.isCutOff(now)
 }
 
 // UpstreamCount returns the number of upstreams that have an entry in the store.
--- a/gatherer/subquery.go
+++ b/gatherer/subquery.go
@@ -8,6 +8,9 @@
 // rejectedMillis is the time for which a daemon gets no sub-queries after it rejected one.
 const rejectedMillis = 1000
 
+// minSilentDaemons is the number of sub-queries from which it is unlikely that most of the daemons are silent.
+const minSilentDaemons = 3
+
 // rttSmoothing is the weight of a new sample in the moving average of the round-trip time.
 const rttSmoothing = 0.1
 
@@ -42,6 +45,9 @@
 // recordPeerOutcome updates the statistics of another daemon with the outcome of a sub-query.
 func (s *State) recordPeerOutcome(now tiller.Millis, a *attempt, e SubQueryEnded) {
 	stat := a.peer.stat
+	if e.Failure == nil || isSilence(e.Failure.Reason, now-a.sent) {
+		s.recordPeerContact(now, a.peer, e.Failure == nil)
+	}
 	switch {
 	case e.Failure == nil && e.Reply.NoCapacity:
 		stat.Shed(now, a.id)
@@ -62,12 +68,14 @@
 // was already replaced. If this daemon is itself gathering an unconfirmed sub-query, it delays the
 // confirmation until its own: until then, all daemons involved together may send only one request for each
 // shard.
-func (s *State) subQueryAccepted(e SubQueryAccepted) {
+func (s *State) subQueryAccepted(now tiller.Millis, e SubQueryAccepted) {
 	a, ok := s.attempts[e.Attempt]
 	if !ok {
 		return
 	}
 	a.accepted = true
+	a.query.accepted++
+	s.recordPeerContact(now, a.peer, true)
 	if !a.query.unconfirmed {
 		s.emit(ConfirmSubQuery{Attempt: a.id})
 	}
@@ -92,18 +100,19 @@
 
 // checkAccepted replaces a sub-query that was not accepted in time. A daemon that is stalled has not sent any
 // request, and finds its connection closed when it resumes. A daemon that is only late sends at most one
-// request for each shard, because it is not confirmed. If the timer of this daemon fired late, the other
-// daemon gets more time.
+// request for each shard, because it is not confirmed. If the timer of this daemon fired late, or most daemons
+// seem to be silent at once, this daemon itself is probably busy, and the other daemon gets more time.
 func (s *State) checkAccepted(now tiller.Millis, a *attempt) {
-	late := now - a.acceptBy
+	late := now-a.acceptBy > timerLateMillis || a.query.mostSilent() && !a.extended
 	a.acceptBy = now + acceptSlackMillis
 	for _, sh := range a.shards {
 		sh.checkAt = 0
-		if !a.accepted && late > timerLateMillis {
+		if !a.accepted && late {
 			sh.checkAt = a.acceptBy
 		}
 	}
-	if a.accepted || late > timerLateMillis {
+	if a.accepted || late {
+		a.extended = true
 		return
 	}
 	s.emit(Cancel{Attempt: a.id})
@@ -113,6 +122,11 @@
 	})
 }
 
+// mostSilent reports whether most of the daemons asked for a query have not started their sub-query.
+func (q *query) mostSilent() bool {
+	return q.subQueries >= minSilentDaemons && 2*q.accepted < q.subQueries
+}
+
 // acceptReply stores the answered shards of a reply. The records of a reply are merged and cannot be separated,
 // so a shard that was meanwhile answered directly takes its stamp and records from the reply.
 func (s *State) acceptReply(now tiller.Millis, a *attempt, r SubReply) {
--- a/reason.go
+++ b/reason.go
@@ -17,6 +17,7 @@
 	ReasonQueueTimeout     Reason = "QueueTimeout" // no capacity became free in time
 	ReasonCoverageTooLow   Reason = "CoverageTooLow"
 	ReasonHarmful          Reason = "Harmful"       // upstreams were lost while they ran this request
+	ReasonCutOff           Reason = "CutOff"        // this daemon reaches too few daemons and upstreams
 	ReasonNoOwner          Reason = "NoOwner"       // no daemon that owns the query was found
 	ReasonNotOwner         Reason = "NotOwner"      // this daemon does not own the query
 	ReasonOwnerLost        Reason = "OwnerLost"     // the connection to the owner was lost after the query was forwarded
@@ -57,7 +58,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		ReasonBadRequest, ReasonUnknownService, ReasonUnknownRoute, ReasonTooLarge, ReasonTooSlow, ReasonDeadlinePast, ReasonDeadlineTooShort,
-		ReasonQueueFull, ReasonQueueTimeout, ReasonCoverageTooLow, ReasonHarmful,
+		ReasonQueueFull, ReasonQueueTimeout, ReasonCoverageTooLow, ReasonHarmful, ReasonCutOff,
 		ReasonNoOwner, ReasonNotOwner, ReasonOwnerLost, ReasonStopping, ReasonNotReady,
 		ReasonDuplicateID, ReasonTokenRequired, ReasonTokenUnknown, ReasonTokenExpired,
 		ReasonTokenIssuerGone, ReasonTokenInUse, ReasonCancelled, ReasonInternal,
--- a/receiver/connections.go
+++ b/receiver/connections.go
@@ -57,16 +57,22 @@
 	}
 }
 
-// firstRequestKey is the context key of a flag that isFirst sets for the first request of a connection.
+// firstRequestKey is the context key of the connectionInfo of a request.
 type firstRequestKey struct{}
 
-// ConnContext is the ConnContext hook of an http.Server. It adds the value that isFirst requires.
-func ConnContext(ctx context.Context, _ net.Conn) context.Context {
-	return context.WithValue(ctx, firstRequestKey{}, new(atomic.Bool))
+// ConnContext is the ConnContext hook of an http.Server. It adds what isFirst and isRebalanced require.
+func (c *Connections) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, firstRequestKey{}, &connectionInfo{opened: c.clock.Now()})
+}
+
+// connectionInfo is what is known of a client's connection.
+type connectionInfo struct {
+	opened tiller.Millis
+	used   atomic.Bool
 }
 
 // isFirst reports whether a request is the first on its connection. It must be called once for each request.
 func isFirst(ctx context.Context) bool {
-	used, ok := ctx.Value(firstRequestKey{}).(*atomic.Bool)
-	return ok && !used.Swap(true)
+	c, ok := ctx.Value(firstRequestKey{}).(*connectionInfo)
+	return ok && !c.used.Swap(true)
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -39,6 +39,7 @@
 	limits             func() cataloger.Limits
 	onReject           func(tiller.Reason)
 	keepAlivesDisabled atomic.Bool
+	rebalancing        rebalancing
 }
 
 // New returns a Receiver. onReject is called for each request that is refused before it is submitted.
@@ -52,7 +53,7 @@
 
 // ServeHTTP serves one client request. It abandons the query if the client disconnects.
 func (h *Receiver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if h.keepAlivesDisabled.Load() {
+	if h.keepAlivesDisabled.Load() || h.isRebalanced(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	id := h.codec.RequestID(r.Header)
@@ -113,8 +114,8 @@
 	case o.Gathered != nil:
 		h.codec.SetGathered(w.Header(), o.Gathered.Stamps, o.Gathered.Missing)
 		writeBody(w, http.StatusOK, "application/octet-stream", o.Gathered.Records)
-	case o.Refused != nil:
 		h.executor.Step(gatherer.AnswerWritten{Due: o.Gathered.Due})
+	case o.Refused != nil:
 		if o.Refused.RetryAfter > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(float64(o.Refused.RetryAfter)/1000, 'f', -1, 64))
 		}
