Answer all requests before the end of a planned stop

Cause: an operator's report. In a stop of 4 s in calm, connections without a request yet were served until 2.6 s; requests that came late and took longer than what was left were passed on and cut at the end without an answer: 2 of 60 with 1.2 s of work and 15 of 60 with 10 s, requests that must not run twice among them.

Change: from the start of a stop each query ends 0.5 s before the process is killed, with what is there or with 504. A request that cannot end by then is refused at once as not run; one that must not run twice needs all of its time. Sub-queries of other daemons that are due later are handed back.

--- a/gatekeeper/stop.go
+++ b/gatekeeper/stop.go
@@ -18,6 +18,9 @@
 	acceptShare = 0.5
 	// exitMarginMillis is the time between the end of stop and the moment when the platform kills the process.
 	exitMarginMillis = 300
+	// answerMarginMillis is the time between the end of the last query and the end of stop, in which its answer is
+	// written.
+	answerMarginMillis = 200 * tiller.Millis(1)
 	// stopPollMillis is the interval between checks for work that remains.
 	stopPollMillis = 20
 )
@@ -31,6 +34,7 @@
 	g.receiver.DisableKeepAlives()
 	g.log.Info("Daemon stopping", "Connections", g.connections.Open())
 	end := started + max(within-exitMarginMillis, stopPollMillis)
+	g.executor.Step(gatherer.Stopping{By: max(end-answerMarginMillis, started+1)})
 	accept := started + max(outOfRotationMillis, tiller.Millis(float64(within)*acceptShare))
 	for g.clock.Now() < min(accept, end) {
 		time.Sleep(stopPollMillis * time.Millisecond)
--- a/gatherer/arrive.go
+++ b/gatherer/arrive.go
@@ -28,6 +28,11 @@
 	}
 	q := &query{id: e.Query, clientID: e.ID, digest: e.Digest, rank: rankOf(e.ID), route: route, version: s.configuration.Version, arrived: now}
 	s.setTimes(q, e)
+	if !s.endsInTime(q) {
+		s.refuseNew(e, tiller.ReasonStopping, otherDaemonMillis)
+		return
+	}
+	s.limitToStop(q)
 	if route.IsSharded() {
 		q.topK = route.TopK
 		q.needed = route.MinShards()
@@ -70,6 +75,11 @@
 	}
 	q.route.Name = e.Route
 	q.route.Repeatable = true
+	if !s.endsInTime(q) {
+		s.emit(ReplySub{Query: e.Query, Reply: SubReply{NoCapacity: true}, Decision: Decision{ID: e.ID, Route: e.Route, Configuration: s.Version()}})
+		return
+	}
+	s.limitToStop(q)
 	q.route.Attempts = max(e.Attempts, 1)
 	q.route.Priority = e.Priority
 	q.unlikely = e.Unlikely
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -80,6 +80,8 @@
 	backgroundAt tiller.Millis
 	latencies    map[latencyKey]*hedger.Latency
 	pauses       *balancer.PausePredictor
+	// stopBy is the time by which all queries must have been answered, because the process ends; 0 if it does not.
+	stopBy tiller.Millis
 	// lateness is how late gathered answers were written recently.
 	lateness lateness
 	// contacts holds, by failure domain, the requests that it did not answer since its last answer. peerContact is
@@ -212,6 +214,8 @@
 		s.recordWritten(now, e)
 	case ReportReceived:
 		s.receiveReport(now, e.Report)
+	case Stopping:
+		s.stop(now, e.By)
 	case ReportLost:
 		s.loseReport(now, e.VM)
 	case TimerFired:
