Heed upstreams that leave or ask for a pause (DRAIN, BUDGET)

Cause: a drain was learnt from the store only, and a 503 with Retry-After counted as any other rejection. An upstream that left while the store was away, or that asked for a pause, was asked again.

A leaving process gets no new request, its idle connections are closed, and daemons pass it on in their replies, with its incarnation. Refusals name the time of the next room.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -169,6 +169,8 @@
 		x.sendSubQuery(e)
 	case gatherer.PreconnectUpstream:
 		go x.client.Warm(forwarder.Request{Address: e.Upstream.Address, Key: e.Upstream.ID}, e.Connections)
+	case gatherer.UpstreamLeaving:
+		x.client.CloseIdle(e.Upstream.Address, e.Upstream.ID)
 	case gatherer.PreconnectPeer:
 		go x.client.Warm(gatherRequest(e.Member.Address), 1)
 	case gatherer.Probe:
--- a/executor/peer.go
+++ b/executor/peer.go
@@ -32,8 +32,14 @@
 type ReplyFrame struct {
 	_ struct{} `cbor:",toarray"`
 	// Last is false for the part that is sent ahead.
-	Last  bool
-	Reply gatherer.SubReply
+	Last    bool
+	Reply   gatherer.SubReply
+	Leaving []gatherer.Incarnation
+}
+
+// NewReplyFrame returns the frame of a reply.
+func NewReplyFrame(last bool, r gatherer.SubReply) ReplyFrame {
+	return ReplyFrame{Last: last, Reply: r, Leaving: r.Leaving}
 }
 
 // subQueryGrace is the time after the deadline of a sub-query at which its connection is closed.
@@ -127,6 +133,7 @@
 		if err := decoder.Decode(&frame); err != nil {
 			return gatherer.SubReply{}, errors.Wrap(err, "decode part of a reply")
 		}
+		frame.Reply.Leaving = frame.Leaving
 		if frame.Last {
 			_, err := io.Copy(io.Discard, body)
 			return frame.Reply, err
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -284,6 +284,17 @@
 	}
 }
 
+// CloseIdle closes the idle connections to the process that key names at an address.
+func (c *Client) CloseIdle(address, key string) {
+	pool := poolKey(Request{Address: address, Key: key})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.idle[pool] {
+		_ = conn.Close()
+	}
+	delete(c.idle, pool)
+}
+
 // connection is a pooled connection.
 type connection struct {
 	net.Conn
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -93,6 +93,7 @@
 		Body:        resp.Body,
 		Waiting:     h.Waiting,
 		Limited:     h.Limited, LimitPerSecond: h.LimitPerSecond,
+		Leaving: h.Leaving, Pause: h.Pause,
 	}
 }
 
--- a/gatekeeper/observer.go
+++ b/gatekeeper/observer.go
@@ -74,6 +74,12 @@
 	case gatherer.UpstreamLimited:
 		o.count("Upstream.LimitChanges")
 		o.log.Info("Limit of an upstream changed", "Upstream", e.Upstream, "PerSecond", e.PerSecond, "Share", e.Share)
+	case gatherer.UpstreamLeaving:
+		o.count("Upstream.Leaving")
+		o.log.Info("Upstream is leaving", "Upstream", e.Upstream.ID, "Daemon", e.Daemon)
+	case gatherer.UpstreamPaused:
+		o.count("Upstream.Pauses")
+		o.log.Info("Upstream asked for a pause", "Upstream", e.Upstream, "For", e.For, "Named", e.Named)
 	case gatherer.DomainCut:
 		o.count("Domain.Cuts")
 		o.log.Info("Contact with a failure domain changed", "Domain", e.Domain, "Cut", e.Cut, "Silent", e.Silent)
--- a/gatherer/arrive.go
+++ b/gatherer/arrive.go
@@ -123,7 +123,7 @@
 		retryAfter := tiller.Millis(retryAfterMillis)
 		if q.isSingle() {
 			reason = s.noUpstreamReason(now, q.shards[0].service)
-			retryAfter = s.limitRetryAfter(q.shards[0].service)
+			retryAfter = s.limitRetryAfter(now, q.shards[0].service)
 		}
 		if q.cut != nil {
 			reason, retryAfter = tiller.ReasonCutOff, otherDaemonMillis
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -18,6 +18,7 @@
 	s.recordVersion(now, a, e)
 	s.recordLoss(now, a, e)
 	s.recordLimit(now, a, e)
+	s.recordNotices(now, a, e)
 	sh := a.shards[0]
 	sh.outstanding--
 	defer s.sendQueued(now, sh.service)
--- a/gatherer/cold.go
+++ b/gatherer/cold.go
@@ -85,5 +85,5 @@
 
 // isUsable reports whether new requests may go to an upstream, apart from its cold allowance.
 func (s *State) isUsable(u *upstream, r cataloger.Route) bool {
-	return !u.Draining && !u.misdirected && !s.evacuated[u.Domain] && r.Allows(u.Region)
+	return !u.Draining && !u.leaving && !u.misdirected && !s.evacuated[u.Domain] && r.Allows(u.Region)
 }
--- a/gatherer/evaluate.go
+++ b/gatherer/evaluate.go
@@ -117,7 +117,7 @@
 		}
 		r.Missing = append(r.Missing, MissingShard{Shard: sh.service, Reason: sh.reason, Attempts: sh.possibleRuns + sh.outstanding, Asked: sh.arrivals > 0})
 	}
-	r.Down = s.unusableUpstreams(now, q)
+	r.Down, r.Leaving = s.unusableUpstreams(now, q), s.leavingUpstreams(q)
 	s.emit(ReplySub{Query: q.id, Reply: r, Decision: q.decision(now)})
 	s.finish(now, q, lingerMillis)
 }
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -127,6 +127,10 @@
 	// Limited is true if the upstream named the requests that it takes from all daemons together, LimitPerSecond.
 	Limited        bool
 	LimitPerSecond float64
+	// Leaving is true if the upstream is about to end.
+	Leaving bool
+	// Pause is the time for which the upstream wants no requests from this daemon; 0 if it named none.
+	Pause tiller.Millis
 }
 
 // SubQuery is a request to another daemon to gather some shards. It lists the shards by name, so that both
@@ -175,11 +179,21 @@
 	Down []string
 	// Took is the time from the arrival of the sub-query to the reply.
 	Took tiller.Millis
+	// Leaving lists the upstreams of the shards that said that they are leaving. It is sent outside the encoding of
+	// the reply, which daemons of earlier versions read.
+	Leaving []Incarnation `cbor:"-"`
 	// NoCapacity is true if the daemon rejected the sub-query, for example because it does not know a shard. No
 	// request was sent.
 	NoCapacity bool
 }
 
+// Incarnation identifies one process of an upstream.
+type Incarnation struct {
+	_    struct{} `cbor:",toarray"`
+	ID   string
+	Born int64
+}
+
 // Part identifies an answered shard, whose records were merged, and the signature of its answer.
 type Part struct {
 	_            struct{} `cbor:",toarray"`
--- a/gatherer/fake_upstream_test.go
+++ b/gatherer/fake_upstream_test.go
@@ -33,6 +33,10 @@
 	// limitPerSecond is the rate of requests that the upstream names in its answers from limitFrom on; 0 for none.
 	limitPerSecond float64
 	limitFrom      tiller.Millis
+	// leavingFrom is the time from which the upstream says in its answers that it is leaving; 0 for never.
+	leavingFrom tiller.Millis
+	// Between busyFrom and busyUntil the upstream rejects all requests and asks for pauses of pauseNamed.
+	busyFrom, busyUntil, pauseNamed tiller.Millis
 	// downUntil is the time until which the upstream refuses connections after a crash.
 	downUntil    tiller.Millis
 	crashes      []tiller.Millis
@@ -68,6 +72,10 @@
 	answer = sim.withLimit(s, answer)
 	a := arrival{at: sim.now, id: id, upstream: s.ID}
 	s.requestTimes = append(s.requestTimes, sim.now)
+	if sim.now >= s.busyFrom && sim.now < s.busyUntil {
+		answer(gatherer.AttemptEnded{Answer: gatherer.Answer{Status: 503, NotExecuted: true, Pause: s.pauseNamed}})
+		return func() {}
+	}
 	if sim.random.Float64() < s.shedRate || len(s.waiting) >= s.queueLimit {
 		sim.arrivals[s.Service] = append(sim.arrivals[s.Service], a)
 		answer(gatherer.AttemptEnded{Answer: gatherer.Answer{Status: 503, NotExecuted: true}})
@@ -112,6 +120,7 @@
 		if e.Failure == nil && s.limitPerSecond > 0 && sim.now >= s.limitFrom {
 			e.Answer.Limited, e.Answer.LimitPerSecond = true, s.limitPerSecond
 		}
+		e.Answer.Leaving = e.Failure == nil && s.leavingFrom > 0 && sim.now >= s.leavingFrom
 		answer(e)
 	}
 }
--- a/gatherer/limit.go
+++ b/gatherer/limit.go
@@ -117,10 +117,13 @@
 }
 
 // limitRetryAfter returns the time after which an upstream of a limited service has room for a request of this
-// daemon again.
-func (s *State) limitRetryAfter(service string) tiller.Millis {
+// daemon again, or the pause of one has ended.
+func (s *State) limitRetryAfter(now tiller.Millis, service string) tiller.Millis {
 	retryAfter := tiller.Millis(0)
 	for _, u := range s.upstreamsByService[service] {
+		if wait := u.pausedUntil - now; wait > 0 && (retryAfter == 0 || wait < retryAfter) {
+			retryAfter = wait
+		}
 		rate := s.limitShare(u)
 		if !u.limit.named || rate <= 0 {
 			continue
@@ -135,7 +138,7 @@
 // noUpstreamReason returns why a shard finds no upstream: Limited if one has no room within its limit.
 func (s *State) noUpstreamReason(now tiller.Millis, service string) tiller.Reason {
 	for _, u := range s.upstreamsByService[service] {
-		if !s.admitsLimit(now, u) {
+		if !s.admitsLimit(now, u) || now < u.pausedUntil {
 			return tiller.ReasonLimited
 		}
 	}
--- a/gatherer/part.go
+++ b/gatherer/part.go
@@ -63,13 +63,17 @@
 	if len(parts) == 0 {
 		return
 	}
-	s.emit(ReplyPart{Query: q.id, Reply: SubReply{Parts: parts, Records: merger.Above(records.Bytes(), q.askerThreshold), Took: now - q.arrived}})
+	s.emit(ReplyPart{Query: q.id, Reply: SubReply{Leaving: s.leavingUpstreams(q), Parts: parts, Records: merger.Above(records.Bytes(), q.askerThreshold), Took: now - q.arrived}})
 }
 
 // receivePart stores the shards that another daemon answered ahead of the others. Those stay with the sub-query.
 func (s *State) receivePart(now tiller.Millis, e SubQueryPart) {
 	a, ok := s.attempts[e.Attempt]
-	if !ok || a.query.ended {
+	if !ok {
+		return
+	}
+	s.hearLeaving(a.peer.VM, e.Reply.Leaving)
+	if a.query.ended {
 		return
 	}
 	if !isValidReply(a, e.Reply) {
--- a/gatherer/reachability.go
+++ b/gatherer/reachability.go
@@ -20,9 +20,9 @@
 	connectFailures  int
 }
 
-// isUnreachable reports whether requests to an upstream are expected to fail.
+// isUnreachable reports whether requests to an upstream are expected to fail, or are not wanted by it for a while.
 func (u *upstream) isUnreachable(now tiller.Millis) bool {
-	return now < u.reachability.unreachableUntil
+	return now < u.reachability.unreachableUntil || now < u.pausedUntil
 }
 
 // updateReachability updates the reachability of an upstream with the outcome of an attempt.
--- a/gatherer/simulation_test.go
+++ b/gatherer/simulation_test.go
@@ -40,6 +40,9 @@
 	arrivals  map[string][]arrival
 	// extraReplies are the replies to sub-queries for shards to which a request was already sent.
 	extraReplies []gatherer.SubReply
+	// sends holds the requests of daemons to upstreams, notices the answers in which those said something of
+	// themselves, when they reached a daemon.
+	sends, notices []notice
 	// cutRegion is a region from and to which nothing passes; empty if there is none.
 	cutRegion string
 	// wholeReplies is true if sub-queries are answered as a whole.
@@ -368,6 +371,9 @@
 	finish, ended := sim.endOnce(d, e.Attempt)
 	end := func(event gatherer.AttemptEnded) {
 		event.Attempt = e.Attempt
+		if !ended() && (event.Answer.Leaving || event.Answer.Pause > 0) {
+			sim.notices = append(sim.notices, notice{sim.now, d.vm, s.ID})
+		}
 		finish(event)
 	}
 	failed := func(reason tiller.Reason) gatherer.AttemptEnded {
@@ -380,6 +386,7 @@
 		}
 		end(failed(reason))
 	}
+	sim.sends = append(sim.sends, notice{sim.now, d.vm, s.ID})
 	d.pending[e.Attempt] = &pendingAttempt{cancel: func() { abandon(tiller.ReasonCancelled) }}
 	sim.schedule(e.Timeout, func() { abandon(tiller.ReasonTimeout) })
 	if sim.isCut(d.region, s.Region) {
@@ -397,6 +404,12 @@
 	})
 }
 
+// notice is a request to an upstream, or an answer in which it said something of itself.
+type notice struct {
+	at           tiller.Millis
+	vm, upstream string
+}
+
 // endOnce returns a function that ends an attempt of a daemon with an event and ignores all calls but the
 // first, and a function that reports whether the attempt has ended.
 func (sim *simulation) endOnce(d *daemon, attempt uint64) (end func(gatherer.Event), ended func() bool) {
@@ -426,9 +439,15 @@
 			peer = other
 		}
 	}
-	finish, _ := sim.endOnce(d, e.Attempt)
+	finish, ended := sim.endOnce(d, e.Attempt)
 	end := func(event gatherer.SubQueryEnded) {
 		event.Attempt = e.Attempt
+		for _, l := range event.Reply.Leaving {
+			if ended() {
+				break
+			}
+			sim.notices = append(sim.notices, notice{sim.now, d.vm, l.ID})
+		}
 		finish(event)
 	}
 	id := sim.clientID(d, e.Query)
--- a/gatherer/state.go
+++ b/gatherer/state.go
@@ -103,6 +103,10 @@
 	limit        requestLimit
 	// preconnected is true if connections to the upstream were opened ahead of requests.
 	preconnected bool
+	// leaving is true if the upstream's process said that it is about to end.
+	leaving bool
+	// pausedUntil is the time until which the upstream wants no requests from this daemon.
+	pausedUntil tiller.Millis
 	// misdirected is true if another process answered at the upstream's address.
 	misdirected bool
 	// heldUntil is the time until which the upstream's version waits for an order to roll it out.
@@ -210,12 +214,12 @@
 		s.publishedRollout(now, e.Status)
 	case UpstreamProbed:
 		s.endUpstreamProbe(now, e)
+	case Stopping:
+		s.stop(now, e.By)
 	case AnswerWritten:
 		s.recordWritten(now, e)
 	case ReportReceived:
 		s.receiveReport(now, e.Report)
-	case Stopping:
-		s.stop(now, e.By)
 	case ReportLost:
 		s.loseReport(now, e.VM)
 	case TimerFired:
--- a/gatherer/subquery.go
+++ b/gatherer/subquery.go
@@ -22,6 +22,7 @@
 	}
 	delete(s.attempts, e.Attempt)
 	s.recordPeerOutcome(now, a, e)
+	s.hearLeaving(a.peer.VM, e.Reply.Leaving)
 	q := a.query
 	for _, sh := range a.shards {
 		sh.outstanding -= a.upstreamLimit + a.unusedLimit
--- a/receiver/peer.go
+++ b/receiver/peer.go
@@ -138,7 +138,7 @@
 		}
 	}
 	if part != nil {
-		if err := p.writeChunk(executor.ReplyFrame{Reply: *part}, ""); err != nil {
+		if err := p.writeChunk(executor.NewReplyFrame(false, *part), ""); err != nil {
 			return err
 		}
 	}
@@ -152,7 +152,7 @@
 	if !inParts {
 		return p.writeChunk(reply, lastChunk)
 	}
-	return p.writeChunk(executor.ReplyFrame{Last: true, Reply: reply}, lastChunk)
+	return p.writeChunk(executor.NewReplyFrame(true, reply), lastChunk)
 }
 
 // lastChunk ends a chunked body.
