--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the scripts. The daemon itself is built by the deploy file's command.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -tags review -o target/standin ./review/standin
+go build -tags review -o target/standin ./review
