Send a request ID once on each upstream connection

Cause: responses are told apart by the echoed request ID, which does not tell two sendings of one request apart. A rejected request mostly returned over the connection on which it was rejected, and a late copy of the rejection was taken for the answer to the second sending: "not run", so it was sent a third time or refused.

Each connection carries an ID once, so that the ID identifies the response again.

TestLateCopyOfRejectionIsNotTakenForNextSending failed before ("q-0 ran: true, status 503") and passes. TestKeepAlive and TestIdleConnectionIsChecked sent one ID twice; they now send different ones, with the same assertions. The latter still fails with the idle check switched off.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -182,7 +183,7 @@
 func (c *Client) acquire(ctx context.Context, r Request) (*connection, *tiller.Failure) {
 	now := c.clock.Now()
 	for {
-		conn := c.popIdle(poolKey(r))
+		conn := c.popIdle(r)
 		if conn == nil {
 			break
 		}
@@ -216,21 +217,24 @@
 func poolKey(r Request) string { return r.Address + " " + r.Key }
 
 // popIdle removes and returns the most recently used connection, so that surplus connections expire. It returns
-// nil if there is none.
-func (c *Client) popIdle(key string) *connection {
+// nil if there is none. It leaves out connections that have carried a request with the ID of r.
+func (c *Client) popIdle(r Request) *connection {
+	key := poolKey(r)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[key]
-	if len(conns) == 0 {
-		return nil
-	}
-	conn := conns[len(conns)-1]
-	if len(conns) == 1 {
-		delete(c.idle, key)
-	} else {
-		c.idle[key] = conns[:len(conns)-1]
+	for i, conn := range slices.Backward(conns) {
+		if conn.sent.contains(r.ID) {
+			continue
+		}
+		if len(conns) == 1 {
+			delete(c.idle, key)
+		} else {
+			c.idle[key] = slices.Delete(conns, i, i+1)
+		}
+		return conn
 	}
-	return conn
+	return nil
 }
 
 // putIdle adds a connection to the pool. h holds the response headers, and may be nil.
@@ -304,10 +308,13 @@
 	idleSince   tiller.Millis
 	keepAlive   tiller.Millis
 	newlyOpened bool
+	// sent holds the IDs of the last requests. Responses are told apart by them, so the same ID is not sent twice.
+	sent sentIDs
 }
 
 // roundTrip writes a request and reads its response. The second result reports whether the connection is reusable.
 func (c *connection) roundTrip(r Request) (Response, bool, *tiller.Failure) {
+	c.sent.add(r.ID)
 	head := encodeHead(r)
 	if len(r.Body) < concurrentWriteBytes {
 		n, err := c.Write(append(head, r.Body...))
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -155,8 +156,11 @@
 				if err != nil {
 					return
 				}
-				_, _ = http.ReadRequest(bufio.NewReader(conn))
-				_, _ = conn.Write([]byte(completeResponse))
+				req, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = conn.Write([]byte(strings.ReplaceAll(completeResponse, "ID", req.Header.Get("Id"))))
 				if n == 0 && late == "" {
 					_ = conn.Close()
 				}
@@ -168,11 +172,10 @@
 		}()
 		c := newClient()
 		u := &upstream{address: l.Addr().String()}
-		r := u.request("ID")
-		_, failure := c.Do(context.Background(), r)
+		_, failure := c.Do(context.Background(), u.request("1"))
 		require.Nil(t, failure)
 		time.Sleep(60 * time.Millisecond)
-		resp, failure := c.Do(context.Background(), r)
+		resp, failure := c.Do(context.Background(), u.request("2"))
 		require.Nil(t, failure)
 		require.True(t, resp.Opened)
 	}
@@ -186,10 +189,13 @@
 		now := tiller.Millis(1)
 		clock := tiller.Clock{Now: func() tiller.Millis { return now }}
 		c := forwarder.New(clock, func(h http.Header) string { return h.Get("Id") })
-		r := u.request("ID")
-		r.KeepAlive = keepAlive
-		c.Warm(r, 1)
-		for range 2 {
+		for i := range 3 {
+			r := u.request(strconv.Itoa(i))
+			r.KeepAlive = keepAlive
+			if i == 0 {
+				c.Warm(r, 1)
+				continue
+			}
 			now += tiller.Minute
 			c.Sweep()
 			resp, failure := c.Do(context.Background(), r)
--- a/forwarder/late_copy_test.go
+++ b/forwarder/late_copy_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -92,3 +93,72 @@
 	require.GreaterOrEqual(t, answered, lateCopies/2)
 	require.Positive(t, mismatched, "no copy was met where the answer is expected")
 }
+
+// serveRejectionCopies rejects the first request on a connection. It sends a second copy of the rejection late, where
+// the answer to the second request on that connection is expected. All requests but the first ones run.
+func serveRejectionCopies(conn net.Conn, ran func(id string)) {
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	rejection := ""
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		id := req.Header.Get("Id")
+		if rejection == "" {
+			rejection = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nContent-Length: 0\r\n\r\n", id)
+			if _, err := conn.Write([]byte(rejection)); err != nil {
+				return
+			}
+			continue
+		}
+		ran(id)
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\n\r\n", id)
+		if _, err := conn.Write([]byte(rejection + answer)); err != nil {
+			return
+		}
+	}
+}
+
+// A late copy of a rejection must not be taken for the answer when the same request is sent again: that sending would
+// count as not run although it runs, and the request would be sent a third time.
+func TestLateCopyOfRejectionIsNotTakenForNextSending(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	var mu sync.Mutex
+	runs := make(map[string]int)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveRejectionCopies(conn, func(id string) {
+				mu.Lock()
+				defer mu.Unlock()
+				runs[id]++
+			})
+		}
+	}()
+	c := newClient()
+	u := &upstream{address: l.Addr().String()}
+	for i := range 200 {
+		id := fmt.Sprint("q-", i)
+		for range 3 {
+			resp, failure := c.Do(context.Background(), u.request(id))
+			mu.Lock()
+			ran := runs[id] > 0
+			mu.Unlock()
+			if failure != nil {
+				require.Equal(t, tiller.MayHaveRun, failure.Verdict, "%v", failure)
+				break
+			}
+			require.Equal(t, ran, resp.Status == http.StatusOK, "%s ran: %t, status %d", id, ran, resp.Status)
+			if ran {
+				break
+			}
+		}
+	}
+}
