Take a rejection without a request ID for no proof

Cause: an answer that does not echo a request ID was accepted for any request, also one that says "not run". As a late copy of another request's rejection it would let a request that must not run twice be sent again.

Change: for requests that must not run twice, a rejection that does not name its request counts as "may have run". Upstreams echo the ID, so real rejections are not affected.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -88,6 +88,7 @@
 		Status:      resp.Status,
 		Stamp:       h.Stamp,
 		NotExecuted: h.NotExecuted,
+		Anonymous:   h.RequestID == "",
 		Misdirected: resp.Status == http.StatusMisdirectedRequest,
 		Encoded:     resp.Header.Get("Content-Encoding") != "",
 		Body:        resp.Body,
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -77,6 +77,9 @@
 	a := e.Answer
 	success := a.Status >= 200 && a.Status < 300
 	switch {
+	case a.Anonymous && (a.NotExecuted || a.Misdirected) && !q.route.Repeatable:
+		// It may be the late copy of another request's rejection.
+		return tiller.MayHaveRun, tiller.ReasonMismatch
 	case a.Misdirected:
 		return tiller.NotRun, tiller.ReasonMisdirected
 	case a.NotExecuted:
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -117,6 +117,8 @@
 	Stamp string
 	// NotExecuted is true if the upstream has not run the request and will not run it.
 	NotExecuted bool
+	// Anonymous is true if the answer does not name the request that it belongs to.
+	Anonymous bool
 	// Misdirected is true if the address now belongs to another process.
 	Misdirected bool
 	// Encoded is true if the body has a content encoding, which was not asked for.
