Do not pass on a rejection of an upstream that may have run

Cause: for routes that are not repeatable every stamped answer was passed on, whatever its status promises; for repeatable ones 408 and 429 at once and 503 as the last failure.

Change: platform decodes a status that makes this promise without the upstream's statement. Such an answer is a failure that may have run. It ends as a 502 of the daemon without the upstream's stamp, so it neither promises anything nor claims to be the upstream's answer. It counts as a failure of the upstream and of its version.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -87,7 +87,7 @@
 	return gatherer.Answer{
 		Status:      resp.Status,
 		Stamp:       h.Stamp,
-		NotExecuted: h.NotExecuted,
+		NotExecuted: h.NotExecuted, UnprovenRejection: h.UnprovenRejection,
 		Anonymous:   h.RequestID == "",
 		Misdirected: resp.Status == http.StatusMisdirectedRequest,
 		Encoded:     resp.Header.Get("Content-Encoding") != "",
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -49,7 +49,7 @@
 		stat.Failed(now, a.id)
 	case e.Failure == nil && e.Answer.NotExecuted:
 		stat.Shed(now, a.id)
-	case e.Failure == nil && e.Answer.Status >= http.StatusInternalServerError:
+	case e.Failure == nil && (e.Answer.UnprovenRejection || e.Answer.Status >= http.StatusInternalServerError):
 		stat.Failed(now, a.id)
 	case e.Failure == nil:
 		if !a.query.isSingle() {
@@ -86,6 +86,8 @@
 		return tiller.NotRun, tiller.ReasonShed
 	case a.Encoded || success && a.Stamp == "":
 		return tiller.MayHaveRun, tiller.ReasonMismatch
+	case a.UnprovenRejection:
+		return tiller.MayHaveRun, tiller.ReasonUpstreamError
 	case success:
 		return tiller.Ran, ""
 	case !q.isSingle():
@@ -134,8 +136,9 @@
 		s.evaluate(now, q)
 		return
 	}
-	// The error response of the upstream tells the client more than a refusal.
-	if q.isSingle() && e.Failure == nil && reason == tiller.ReasonUpstreamError && e.Answer.Stamp != "" && !e.Answer.Encoded {
+	// The error response of the upstream tells the client more than a refusal, unless it makes a promise that the
+	// upstream has not made.
+	if q.isSingle() && e.Failure == nil && reason == tiller.ReasonUpstreamError && e.Answer.Stamp != "" && !e.Answer.Encoded && !e.Answer.UnprovenRejection {
 		s.replyPassthrough(now, q, a.id)
 		return
 	}
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -117,6 +117,9 @@
 	Stamp string
 	// NotExecuted is true if the upstream has not run the request and will not run it.
 	NotExecuted bool
+	// UnprovenRejection is true if the status would tell a client that the request has not run, but the upstream does
+	// not state this.
+	UnprovenRejection bool
 	// Anonymous is true if the answer does not name the request that it belongs to.
 	Anonymous bool
 	// Misdirected is true if the address now belongs to another process.
--- a/gatherer/rejection_test.go
+++ b/gatherer/rejection_test.go
@@ -52,3 +52,23 @@
 		require.Equal(t, tiller.MayHaveRun, end.(gatherer.Refuse).Verdict)
 	}
 }
+
+// An upstream may run a request and then answer with a status that promises clients that it has not run. The client
+// must get a failure that promises nothing, and a request that must not run twice must not be sent again.
+func TestRejectionAfterRunIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{408, 429, 503} {
+		for _, repeatable := range []bool{false, true} {
+			a := gatherer.Answer{Status: status, Stamp: "s", UnprovenRejection: true}
+			sent, end := answerAll(t, repeatable, a)
+			require.Equal(t, repeatable, sent > 1, "%d", status)
+			require.IsType(t, gatherer.Refuse{}, end, "%d", status)
+			require.Equal(t, tiller.MayHaveRun, end.(gatherer.Refuse).Verdict, "%d", status)
+			require.Equal(t, tiller.ReasonUpstreamError, end.(gatherer.Refuse).Reason, "%d", status)
+		}
+	}
+	// Failures that promise nothing keep the status of the upstream.
+	for _, repeatable := range []bool{false, true} {
+		_, end := answerAll(t, repeatable, gatherer.Answer{Status: 500, Stamp: "s"})
+		require.IsType(t, gatherer.ReplyPassthrough{}, end)
+	}
+}
