Bound the memory of all messages received from outside

Operators of similar systems saw a faulty upstream send bytes without end until the caller ran out of memory. One answer was bounded here, the process was not.

Cause: each reader had a bound of its own and nothing added them up. Decompressed updates of other daemons and the pages of a store read had no bound at all.

Change: package accountant holds one account of what is received from outside and not given back, limited to an eighth of the VM's memory. When there is no room, the largest message that still grows is cut off, so small ones of others pass. It covers answers, replies and probes, requests on all listeners, sub-queries, reports, store reads, updates, and answers that clients do not read. The garbage collector gets half of the memory as its limit. An answer beyond its own bound is now Mismatch and not ConnectionLost, which counted towards a crash; one cut off for others has the new reason MemoryLimit.

--- a/cmd/tillergate/main.go
+++ b/cmd/tillergate/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/go-logr/logr"
@@ -30,6 +31,9 @@
 // logQueueLines is the number of log lines that may wait to be written. Lines beyond it are dropped and counted.
 const logQueueLines = 4096
 
+// collectShare is the share of the VM's memory at which the garbage collector works harder.
+const collectShare = 0.5
+
 // options holds the parsed command line.
 type options struct {
 	LogLevel string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"error" description:"least level of the log lines on standard output"`
@@ -79,6 +83,9 @@
 	}
 	// A write to a closed pipe or client connection must return an error instead of ending the process with SIGPIPE.
 	signal.Ignore(syscall.SIGPIPE)
+	if limit := settings.MemoryBytes; limit > 0 {
+		debug.SetMemoryLimit(int64(collectShare * float64(limit)))
+	}
 	daemon := gatekeeper.New(settings, tiller.SystemClock(), log, lines.Dropped)
 	go reload(ctx, settingsPath, contents, log, daemon)
 	if err := daemon.Run(ctx); err != nil {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -230,6 +230,7 @@
 	go func() {
 		sent := x.clock.Now()
 		resp, failure := x.client.Do(ctx, r)
+		defer resp.Holding.Release()
 		x.observer.Answer(x.clock.Now()-sent, resp.Opened)
 		x.endAttempt(e.Attempt, resp, failure)
 	}()
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/accountant"
 	"github.com/carawaytiller/carawaytiller/forwarder"
 	"github.com/carawaytiller/carawaytiller/gatherer"
 )
@@ -22,7 +23,8 @@
 		Answer: func(tiller.Millis, bool) {},
 	}
 	clock := tiller.FixedClock(0)
-	client := forwarder.New(clock, func(http.Header) string { return "" })
+	account := accountant.New(1<<20, func(int64) {})
+	client := forwarder.New(clock, account, func(http.Header) string { return "" })
 	x = New(clock, client, Codec{}, observer, gatherer.New(gatherer.Settings{VM: "vm-1"}))
 	ticket := x.Submit(Request{ID: "q-1"}, gatherer.QueryArrived{Path: "/", Deadline: 1000})
 	outcome := <-ticket.Done
--- a/executor/peer.go
+++ b/executor/peer.go
@@ -106,6 +106,7 @@
 		return err
 	}
 	resp, failure := x.client.Do(ctx, r)
+	defer resp.Holding.Release()
 	if failure != nil {
 		return reply, failure
 	}
@@ -153,8 +154,9 @@
 func (x *Executor) probePeer(m cataloger.Member) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
 	defer cancel()
-	_, failure := x.client.Do(ctx, forwarder.Request{
+	resp, failure := x.client.Do(ctx, forwarder.Request{
 		Address: m.Address, Key: ProbePath, Method: http.MethodGet, URI: ProbePath, Host: m.Address, Header: http.Header{},
 	})
+	resp.Holding.Release()
 	x.Step(gatherer.PeerProbed{Member: m, Reached: failure == nil})
 }
--- a/executor/report.go
+++ b/executor/report.go
@@ -40,6 +40,7 @@
 		Address: e.Member.Address, Key: ReportPath, Method: http.MethodPost, URI: ReportPath, Host: e.Member.Address,
 		Header: http.Header{}, Body: body,
 	})
+	defer resp.Holding.Release()
 	if failure != nil {
 		return reply, failure
 	}
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -17,6 +17,7 @@
 	"github.com/go-faster/errors"
 
 	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/accountant"
 	"github.com/carawaytiller/carawaytiller/cataloger"
 )
 
@@ -42,6 +43,8 @@
 	// staleExclusionMillis is the time for which a daemon with outdated data is not used. It applies
 	// while this daemon's own store calls succeed. The other daemon calls the store again within about a second.
 	staleExclusionMillis = 1 * tiller.Second
+	// maxUpdateBytes bounds a decompressed update.
+	maxUpdateBytes = 64 << 20
 	// maxRelays is the number of daemons of a region that may be followed while the store answers this
 	// daemon: the one that ranks first and its substitutes.
 	maxRelays = 3
@@ -230,13 +233,14 @@
 	r := changesRequest(from.member.Address)
 	r.URI += "?" + q.Encode()
 	resp, failure := f.client.Do(ctx, r)
+	defer resp.Holding.Release()
 	if failure != nil {
 		return update, failure
 	}
 	if resp.Status != http.StatusOK {
 		return update, errors.Errorf("unexpected status %d", resp.Status)
 	}
-	data, err := io.ReadAll(flate.NewReader(bytes.NewReader(resp.Body)))
+	data, err := decompress(resp.Body, resp.Holding)
 	if err != nil {
 		return update, errors.Wrap(err, "decompress update")
 	}
@@ -255,6 +259,17 @@
 	return update, nil
 }
 
+// decompress returns the contents of an update, which are added to held. A small body may decompress to a thousand times
+// its size.
+func decompress(body []byte, held *accountant.Holding) ([]byte, error) {
+	limited := &io.LimitedReader{R: flate.NewReader(bytes.NewReader(body)), N: maxUpdateBytes + 1}
+	data, err := io.ReadAll(accountant.Reader{R: limited, Holding: held})
+	if err == nil && limited.N <= 0 {
+		err = errors.Errorf("update exceeds %d bytes", maxUpdateBytes)
+	}
+	return data, err
+}
+
 // applyUpdate applies the update of another daemon.
 func (f *Follower) applyUpdate(u Update) {
 	now := f.clock.Now()
--- a/follower/start_test.go
+++ b/follower/start_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/accountant"
 	"github.com/carawaytiller/carawaytiller/cataloger"
 	"github.com/carawaytiller/carawaytiller/follower"
 	"github.com/carawaytiller/carawaytiller/forwarder"
@@ -43,8 +44,9 @@
 		}
 	}
 	clock := tiller.SystemClock()
-	client := forwarder.New(clock, func(http.Header) string { return "" })
-	f := follower.New(clock, platform.NewStore(server.Listener.Addr().String()), client, logr.Discard(), nil,
+	account := accountant.New(1<<20, func(int64) {})
+	client := forwarder.New(clock, account, func(http.Header) string { return "" })
+	f := follower.New(clock, platform.NewStore(server.Listener.Addr().String(), account), client, logr.Discard(), nil,
 		cataloger.Member{VM: "vm-new"}, nil, follower.NewTiming(0), follower.Callbacks{Emit: emit, Lost: func() {}})
 	f.Run(ctx)
 	require.Equal(t, members, listed)
--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/accountant"
 	"github.com/carawaytiller/carawaytiller/forwarder"
 )
 
@@ -65,7 +69,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			address, sent := newStream(t, tt.start, tt.repeat)
-			client := forwarder.New(tiller.SystemClock(), func(http.Header) string { return "" })
+			client := forwarder.New(tiller.SystemClock(), newAccount(), func(http.Header) string { return "" })
 			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			defer cancel()
 			var before, after runtime.MemStats
@@ -74,12 +78,64 @@
 			runtime.ReadMemStats(&after)
 			require.NotNil(t, failure)
 			require.Equal(t, tiller.MayHaveRun, failure.Verdict)
+			if name != "Trailer" { // which net/http rejects before the bound is reached
+				// The connection was not lost, which would count as a crash of the upstream.
+				require.Equal(t, tiller.ReasonMismatch, failure.Reason)
+			}
 			require.NoError(t, ctx.Err(), "read until the timeout, %d bytes", sent.Load())
 			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxHeld))
 		})
 	}
 }
 
+// Many upstreams send without end at the same time. What all answers hold together must stay within the limit of the
+// process, an answer that is cut off must count as one that may have run, and sound upstreams must be served.
+func TestManyEndlessAnswersStayWithinLimit(t *testing.T) {
+	const (
+		limit   = 4 << 20
+		senders = 32
+	)
+	long := strings.Repeat("x", 64<<10)
+	var cuts atomic.Int64
+	var unexpected atomic.Value
+	account := accountant.New(limit, func(int64) { cuts.Add(1) })
+	client := forwarder.New(tiller.SystemClock(), account, func(h http.Header) string { return h.Get("Id") })
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range senders {
+		form := [][2]string{
+			{"HTTP/1.1 200 OK\r\n\r\n", long},
+			{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "10000\r\n" + long + "\r\n"},
+			{"HTTP/1.1 200 OK\r\n", "X-A: " + long + "\r\n"},
+		}[i%3]
+		address, _ := newStream(t, form[0], form[1])
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for ctx.Err() == nil {
+				_, failure := client.Do(ctx, forwarder.Request{Address: address, Key: "u", Method: "GET", URI: "/", Host: "h", Header: http.Header{}})
+				isCut := failure != nil && failure.Verdict == tiller.MayHaveRun &&
+					(failure.Reason == tiller.ReasonMemoryLimit || failure.Reason == tiller.ReasonMismatch)
+				if !isCut && ctx.Err() == nil {
+					unexpected.Store(fmt.Sprint(failure))
+				}
+			}
+		}()
+	}
+	sound := newUpstream(t, completeResponse)
+	for i := 0; i < 300 || cuts.Load() < senders; i++ {
+		resp, failure := client.Do(context.Background(), sound.request(strconv.Itoa(i)))
+		require.Nil(t, failure)
+		require.Equal(t, "body", string(resp.Body))
+		require.LessOrEqual(t, account.Held(), int64(limit))
+		resp.Holding.Release()
+	}
+	cancel()
+	wg.Wait()
+	require.Nil(t, unexpected.Load())
+	require.Zero(t, account.Held())
+}
+
 // An upstream that stops in the middle of its answer's head and closes must not look like one that answered.
 func TestHeadThatEndsEarlyIsNoAnswer(t *testing.T) {
 	whole := "HTTP/1.1 200 OK\r\nX-Stamp: s\r\nContent-Length: 10\r\n\r\n"
@@ -96,7 +152,7 @@
 			_, _ = conn.Write([]byte(whole[:n]))
 			_ = conn.Close()
 		}()
-		client := forwarder.New(tiller.SystemClock(), func(http.Header) string { return "" })
+		client := forwarder.New(tiller.SystemClock(), newAccount(), func(http.Header) string { return "" })
 		_, failure := client.Do(context.Background(), forwarder.Request{
 			Address: l.Addr().String(), Key: "u", Method: "GET", URI: "/", Host: "h", Header: http.Header{},
 		})
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"github.com/go-faster/errors"
 
 	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/accountant"
 )
 
 const (
@@ -75,11 +76,14 @@
 	Body   []byte
 	// Opened reports whether the request used a newly opened connection.
 	Opened bool
+	// Holding covers the memory of the response. The caller releases it.
+	Holding *accountant.Holding
 }
 
 // Client sends requests and pools idle connections. Its methods may be called concurrently.
 type Client struct {
-	clock tiller.Clock
+	clock   tiller.Clock
+	account *accountant.Account
 	// responseID returns the request ID in response headers, or "".
 	responseID func(http.Header) string
 	dial       func(ctx context.Context, address string) (net.Conn, error)
@@ -89,11 +93,12 @@
 	opened int64
 }
 
-// New returns a Client. responseID returns the request ID in response headers, or "".
-func New(clock tiller.Clock, responseID func(http.Header) string) *Client {
+// New returns a Client whose responses are held in account. responseID returns the request ID in response headers, or "".
+func New(clock tiller.Clock, account *accountant.Account, responseID func(http.Header) string) *Client {
 	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	return &Client{
 		clock:      clock,
+		account:    account,
 		responseID: responseID,
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", address)
@@ -117,19 +122,29 @@
 		return Response{}, failure
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	held := c.account.Open(func() { _ = conn.Close() })
+	conn.received.holding = held
 	resp, reusable, failure := conn.roundTrip(r)
+	conn.received.holding = nil
+	// From here on, abort must not close the connection, which may carry other requests.
+	held.Complete()
+	reusable = reusable && !held.WasCut()
 	stopped := stop()
 	if failure == nil {
 		failure = c.checkID(r, resp)
 	}
 	if failure != nil {
 		_ = conn.Close()
+		if held.WasCut() && failure.Verdict != tiller.NotRun {
+			failure = tiller.NewFailure(failure.Verdict, tiller.ReasonMemoryLimit, accountant.ErrLimit)
+		}
+		held.Release()
 		if err := ctx.Err(); err != nil && failure.Verdict != tiller.NotRun {
 			failure = tiller.NewFailure(failure.Verdict, contextReason(err), err)
 		}
 		return Response{}, failure
 	}
-	resp.Opened = conn.newlyOpened
+	resp.Opened, resp.Holding = conn.newlyOpened, held
 	if !reusable || !stopped {
 		_ = conn.Close()
 		return resp, nil
@@ -210,7 +225,7 @@
 	if keepAlive <= 0 {
 		keepAlive = defaultKeepAlive
 	}
-	received := &io.LimitedReader{R: raw}
+	received := &receivedBytes{conn: raw}
 	return &connection{Conn: raw, received: received, reader: bufio.NewReader(received), keepAlive: keepAlive, newlyOpened: true}, nil
 }
 
@@ -303,7 +318,7 @@
 type connection struct {
 	net.Conn
 	// received bounds the bytes that reader takes from Conn, which may come without end.
-	received    *io.LimitedReader
+	received    *receivedBytes
 	reader      *bufio.Reader
 	idleSince   tiller.Millis
 	keepAlive   tiller.Millis
@@ -356,7 +371,7 @@
 		body, err = io.ReadAll(limited)
 	}
 	if err == nil && limited.N <= 0 {
-		err = errors.Errorf("answer body exceeds %d bytes", maxResponseBytes)
+		err = errTooLong
 	}
 	return body, err
 }
@@ -388,11 +403,11 @@
 	request := &http.Request{Method: r.Method}
 	var confirmed atomic.Bool
 	confirmed.Store(r.OnAccepted == nil)
-	c.received.N = maxHeadBytes
+	c.received.allow(maxHeadBytes)
 	for {
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
-			return Response{}, false, tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, err)
+			return Response{}, false, c.received.failure(err)
 		}
 		if resp.StatusCode < 200 {
 			continue
@@ -404,12 +419,12 @@
 			})
 		}
 		// Chunks of one byte are the longest encoding of a body.
-		c.received.N = maxHeadBytes + 8*maxResponseBytes
+		c.received.allow(maxHeadBytes + 8*maxResponseBytes)
 		body, err := readBody(r, resp)
 		if err != nil {
 			// Closing the body would read what is left of it.
 			_ = c.Close()
-			return Response{}, false, tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonConnectionLost, err)
+			return Response{}, false, c.received.failure(err)
 		}
 		_ = resp.Body.Close()
 		closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/accountant"
 	"github.com/carawaytiller/carawaytiller/forwarder"
 )
 
@@ -68,8 +69,10 @@
 	}
 }
 
+func newAccount() *accountant.Account { return accountant.New(64<<20, func(int64) {}) }
+
 func newClient() *forwarder.Client {
-	return forwarder.New(tiller.SystemClock(), func(h http.Header) string { return h.Get("Id") })
+	return forwarder.New(tiller.SystemClock(), newAccount(), func(h http.Header) string { return h.Get("Id") })
 }
 
 func (u *upstream) request(id string) forwarder.Request {
@@ -188,7 +191,7 @@
 		u := newUpstream(t, completeResponse)
 		now := tiller.Millis(1)
 		clock := tiller.Clock{Now: func() tiller.Millis { return now }}
-		c := forwarder.New(clock, func(h http.Header) string { return h.Get("Id") })
+		c := forwarder.New(clock, newAccount(), func(h http.Header) string { return h.Get("Id") })
 		for i := range 3 {
 			r := u.request(strconv.Itoa(i))
 			r.KeepAlive = keepAlive
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/accountant"
 	"github.com/carawaytiller/carawaytiller/cataloger"
 	"github.com/carawaytiller/carawaytiller/executor"
 	"github.com/carawaytiller/carawaytiller/follower"
@@ -33,6 +34,10 @@
 	headerTimeoutMillis = 10 * tiller.Second
 	// maxHeaderBytes limits the size of a client's header. The configured limit is lower.
 	maxHeaderBytes = 64 << 10
+	// receiveShare is the part of the VM's memory, one in receiveShare, that received messages may take.
+	receiveShare = 8
+	// defaultReceiveBytes is the limit for received messages if the settings name no memory.
+	defaultReceiveBytes = 32 << 20
 )
 
 // Gatekeeper is one daemon.
@@ -42,6 +47,7 @@
 	current     atomic.Pointer[platform.Settings]
 	log         logr.Logger
 	clock       tiller.Clock
+	account     *accountant.Account
 	executor    *executor.Executor
 	client      *forwarder.Client
 	receiver    *receiver.Receiver
@@ -58,20 +64,22 @@
 	g := &Gatekeeper{settings: s, log: log, clock: clock, connections: receiver.NewConnections(clock)}
 	g.current.Store(&s)
 	g.observer = newObserver(log, droppedLines)
-	g.client = forwarder.New(clock, platform.RequestID)
+	g.account = accountant.New(receiveLimit(s.MemoryBytes), g.observer.recordCut)
+	g.observer.addHeldGauge(g.account.Held)
+	g.client = forwarder.New(clock, g.account, platform.RequestID)
 	incarnation := time.Now().UnixNano()
 	state := gatherer.New(gatherer.Settings{
 		VM: s.VM, Domain: s.Domain, Region: s.Region, Power: s.Power, Bounds: s.Bounds,
 		Incarnation: incarnation, Seed: xxhash.Sum64String(s.VM) + uint64(incarnation),
 	})
 	codec := executor.Codec{Outgoing: platform.SetAttemptHeaders, PerAttempt: platform.IsPerAttempt, Incoming: decodeAnswer}
-	store := platform.NewStore(s.StoreAddress)
+	store := platform.NewStore(s.StoreAddress, g.account)
 	publisher := follower.NewPublisher(store, log)
 	hooks := executor.Observer{Effect: g.observer.recordEffect, Answer: g.observer.countAttempt, Publish: publisher.Publish}
 	g.executor = executor.New(clock, g.client, codec, hooks, state)
 	g.receiver = receiver.New(g.executor, receiver.Codec{
 		RequestID: platform.RequestID, Deadline: platform.RequestTimeout, SetGathered: platform.SetGatheredHeaders,
-	}, g.limits, g.observer.recordRejection)
+	}, g.account, g.limits, g.observer.recordRejection)
 	g.observer.regained = func(silent tiller.Millis) { g.receiver.Rebalance(clock.Now(), silent) }
 	self := cataloger.Member{
 		VM: s.VM, Address: g.peerAddress(), Domain: s.Domain, Region: s.Region, Power: s.Power, Incarnation: incarnation,
@@ -136,8 +144,8 @@
 		server  *http.Server
 	}{
 		{g.settings.FrontAddress, front},
-		{g.settings.ReadyAddress, &http.Server{Handler: g.readinessHandler()}},
-		{g.peerAddress(), &http.Server{Handler: g.peerHandler()}},
+		{g.settings.ReadyAddress, internalServer(g.readinessHandler())},
+		{g.peerAddress(), internalServer(g.peerHandler())},
 	}
 	serveErr := make(chan error, len(servers))
 	for _, s := range servers {
@@ -145,7 +153,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", s.address)
 		}
-		go func() { serveErr <- s.server.Serve(l) }()
+		go func() { serveErr <- s.server.Serve(accountant.NewListener(l, g.account)) }()
 	}
 	g.log.Info("Daemon started", "VM", g.settings.VM, "Domain", g.settings.Domain, "Region", g.settings.Region)
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -172,6 +180,22 @@
 	return nil
 }
 
+// internalServer returns a server for the platform, for operators and for other daemons.
+func internalServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeoutMillis.Duration(), MaxHeaderBytes: maxHeaderBytes, ConnState: accountant.StateChanged,
+	}
+}
+
+// receiveLimit returns the limit for received messages on a VM with the given memory. The rest is for the state, for
+// connections and for memory that was not collected yet.
+func receiveLimit(memoryBytes int64) int64 {
+	if memoryBytes == 0 {
+		return defaultReceiveBytes
+	}
+	return memoryBytes / receiveShare
+}
+
 // readinessHandler serves the platform's readiness checks and the metrics.
 func (g *Gatekeeper) readinessHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/gatekeeper/observer.go
+++ b/gatekeeper/observer.go
@@ -57,6 +57,17 @@
 	o.log.Info("Request rejected", "Reason", reason)
 }
 
+// recordCut counts a message that was cut off to keep within the memory limit.
+func (o *observer) recordCut(bytes int64) {
+	o.count("Memory.Cuts")
+	o.log.Info("Message was cut off at the memory limit", "Bytes", bytes)
+}
+
+// addHeldGauge adds the gauge of the bytes that received messages hold.
+func (o *observer) addHeldGauge(held func() int64) {
+	metrics.NewRegisteredFunctionalGauge("Memory.Held", o.registry, held)
+}
+
 // recordEffect counts retries, and counts and logs the ends of queries.
 func (o *observer) recordEffect(e gatherer.Effect) {
 	switch e := e.(type) {
--- a/reason.go
+++ b/reason.go
@@ -52,6 +52,7 @@
 	ReasonHedgeLost      Reason = "HedgeLost"    // another attempt answered first
 	ReasonHedge          Reason = "Hedge"        // an additional request was sent because the first one was slow
 	ReasonMisdirected    Reason = "Misdirected"  // the address belongs to another upstream process
+	ReasonMemoryLimit    Reason = "MemoryLimit"  // the response was cut off to keep within the memory limit
 )
 
 // Reasons returns every Reason.
@@ -65,5 +66,6 @@
 		ReasonTimeout, ReasonShed, ReasonLimited, ReasonDraining, ReasonNoSnapshot, ReasonNoShard,
 		ReasonNoUpstream, ReasonUpstreamError, ReasonConnectFailed, ReasonConnectionLost,
 		ReasonSilent, ReasonMismatch, ReasonLeaseExpired, ReasonRetryBudget, ReasonHedgeLost, ReasonHedge, ReasonMisdirected,
+		ReasonMemoryLimit,
 	}
 }
--- a/receiver/connections.go
+++ b/receiver/connections.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/accountant"
 )
 
 // Connections tracks the open connections of an http.Server. Its methods may be called concurrently.
@@ -25,6 +26,7 @@
 
 // Track is the ConnState hook of the http.Server.
 func (c *Connections) Track(conn net.Conn, state http.ConnState) {
+	accountant.StateChanged(conn, state)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
@@ -60,17 +62,25 @@
 // firstRequestKey is the context key of the connectionInfo of a request.
 type firstRequestKey struct{}
 
-// ConnContext is the ConnContext hook of an http.Server. It adds what isFirst and isRebalanced require.
-func (c *Connections) ConnContext(ctx context.Context, _ net.Conn) context.Context {
-	return context.WithValue(ctx, firstRequestKey{}, &connectionInfo{opened: c.clock.Now()})
+// ConnContext is the ConnContext hook of an http.Server. It adds what isFirst, isRebalanced and completeMessage require.
+func (c *Connections) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, firstRequestKey{}, &connectionInfo{conn: conn, opened: c.clock.Now()})
 }
 
 // connectionInfo is what is known of a client's connection.
 type connectionInfo struct {
+	conn   net.Conn
 	opened tiller.Millis
 	used   atomic.Bool
 }
 
+// completeMessage reports to the account of the connection that the request was received as a whole.
+func completeMessage(ctx context.Context) {
+	if c, ok := ctx.Value(firstRequestKey{}).(*connectionInfo); ok {
+		accountant.Complete(c.conn)
+	}
+}
+
 // isFirst reports whether a request is the first on its connection. It must be called once for each request.
 func isFirst(ctx context.Context) bool {
 	c, ok := ctx.Value(firstRequestKey{}).(*connectionInfo)
--- a/receiver/peer.go
+++ b/receiver/peer.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/accountant"
 	"github.com/carawaytiller/carawaytiller/executor"
 	"github.com/carawaytiller/carawaytiller/forwarder"
 	"github.com/carawaytiller/carawaytiller/gatherer"
@@ -48,7 +49,9 @@
 	p := &peerConnection{receiver: h, conn: conn, reader: buffered.Reader}
 	inParts := r.Header.Get(executor.PartsHeader) != ""
 	for err == nil {
+		accountant.Complete(conn)
 		if err = p.serve(message, inParts); err == nil {
+			accountant.Finish(conn)
 			message, inParts, err = p.readNext()
 		}
 	}
--- a/receiver/peer_test.go
+++ b/receiver/peer_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/accountant"
 	"github.com/carawaytiller/carawaytiller/cataloger"
 	"github.com/carawaytiller/carawaytiller/executor"
 	"github.com/carawaytiller/carawaytiller/forwarder"
@@ -27,7 +28,8 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = silent.Close() })
 	clock := tiller.SystemClock()
-	client := forwarder.New(clock, func(http.Header) string { return "" })
+	account := accountant.New(1<<20, func(int64) {})
+	client := forwarder.New(clock, account, func(http.Header) string { return "" })
 	codec := executor.Codec{
 		Outgoing: func(http.Header, tiller.Millis, string) {},
 		Incoming: func(forwarder.Response) gatherer.Answer { return gatherer.Answer{} },
@@ -36,8 +38,10 @@
 	x := executor.New(clock, client, codec, observer, gatherer.New(gatherer.Settings{VM: "vm-1", Domain: "a-1", Region: "a"}))
 	x.Step(gatherer.ConfigurationChanged{Configuration: cataloger.New(1, cataloger.Limits{}, nil, nil)})
 	x.Step(gatherer.UpstreamChanged{Upstream: cataloger.Upstream{ID: "u-1", Service: "shard", Address: silent.Addr().String(), Domain: "a-1", Region: "a"}})
-	h := receiver.New(x, receiver.Codec{}, func() cataloger.Limits { return cataloger.Limits{} }, func(tiller.Reason) {})
-	server := httptest.NewServer(http.HandlerFunc(h.ServeSubQuery))
+	h := receiver.New(x, receiver.Codec{}, account, func() cataloger.Limits { return cataloger.Limits{} }, func(tiller.Reason) {})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(h.ServeSubQuery))
+	server.Listener = accountant.NewListener(server.Listener, account)
+	server.Start()
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String(), x
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -10,8 +10,10 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/accountant"
 	"github.com/carawaytiller/carawaytiller/cataloger"
 	"github.com/carawaytiller/carawaytiller/executor"
 	"github.com/carawaytiller/carawaytiller/forwarder"
@@ -35,6 +37,7 @@
 type Receiver struct {
 	executor *executor.Executor
 	codec    Codec
+	account  *accountant.Account
 	// limits returns the currently configured limits.
 	limits             func() cataloger.Limits
 	onReject           func(tiller.Reason)
@@ -42,9 +45,10 @@
 	rebalancing        rebalancing
 }
 
-// New returns a Receiver. onReject is called for each request that is refused before it is submitted.
-func New(x *executor.Executor, codec Codec, limits func() cataloger.Limits, onReject func(tiller.Reason)) *Receiver {
-	return &Receiver{executor: x, codec: codec, limits: limits, onReject: onReject}
+// New returns a Receiver. Answers are held in account while they are written. onReject is called for each request that
+// is refused before it is submitted.
+func New(x *executor.Executor, codec Codec, account *accountant.Account, limits func() cataloger.Limits, onReject func(tiller.Reason)) *Receiver {
+	return &Receiver{executor: x, codec: codec, account: account, limits: limits, onReject: onReject}
 }
 
 // DisableKeepAlives makes each connection close after its next response. It may be called concurrently with
@@ -65,6 +69,7 @@
 	if !ok {
 		return
 	}
+	completeMessage(r.Context())
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	deadline, _ := h.codec.Deadline(r.Header)
 	t := h.executor.Submit(executor.Request{
@@ -110,7 +115,7 @@
 func (h *Receiver) writeOutcome(w http.ResponseWriter, o executor.Outcome) {
 	switch {
 	case o.PassedThrough != nil:
-		writePassedThrough(w, o.PassedThrough)
+		h.writePassedThrough(w, o.PassedThrough)
 	case o.Gathered != nil:
 		h.codec.SetGathered(w.Header(), o.Gathered.Stamps, o.Gathered.Missing)
 		writeBody(w, http.StatusOK, "application/octet-stream", o.Gathered.Records)
@@ -137,7 +142,12 @@
 	return http.StatusBadGateway
 }
 
-func writePassedThrough(w http.ResponseWriter, resp *forwarder.Response) {
+// writePassedThrough writes the response of an upstream. If its memory is needed for others, the write is aborted, so a
+// client that reads slowly cannot hold a large response.
+func (h *Receiver) writePassedThrough(w http.ResponseWriter, resp *forwarder.Response) {
+	held := h.account.Open(func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0)) })
+	defer held.Release()
+	held.AddHeld(int64(len(resp.Body)))
 	header := w.Header()
 	for name, values := range endToEndHeaders(resp.Header) {
 		header[name] = values
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -67,10 +67,11 @@
 
 // process is one daemon process.
 type process struct {
-	callerAddress, readinessAddress string
-	settingsFile                    string
-	storeLink                       *proxy
-	cmd                             *exec.Cmd
+	callerAddress, readinessAddress, controlAddress string
+
+	settingsFile string
+	storeLink    *proxy
+	cmd          *exec.Cmd
 	// stopping is true during a planned stop.
 	stopping atomic.Bool
 	paused   bool
@@ -125,7 +126,12 @@
 	r.upstreams = append(r.upstreams, u)
 	r.upstreamsByService[service] = append(r.upstreamsByService[service], u)
 	r.links = append(r.links, link)
-	r.store.Put("servers/"+id, fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":4,"State":"ready","ColdMs":0,"Sequence":1}`, service, link.address, domain))
+	r.register(id, service, link.address, domain)
+}
+
+// register writes the entry of an upstream to the store.
+func (r *run) register(id, service, address, domain string) {
+	r.store.Put("servers/"+id, fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":4,"State":"ready","ColdMs":0,"Sequence":1}`, service, address, domain))
 }
 
 // putConfig stores the next configuration version, which has a route that only this version has.
@@ -150,17 +156,17 @@
 
 func (r *run) newProcess(i int, store string) *process {
 	p := &process{
-		callerAddress: freeAddress(r.t), readinessAddress: freeAddress(r.t), storeLink: newProxy(r.t, store, r.t.Cleanup),
-		settingsFile: filepath.Join(r.t.TempDir(), "settings.json"),
+		callerAddress: freeAddress(r.t), readinessAddress: freeAddress(r.t), controlAddress: freeAddress(r.t),
+		storeLink: newProxy(r.t, store, r.t.Cleanup), settingsFile: filepath.Join(r.t.TempDir(), "settings.json"),
 	}
 	domain := domains[i%len(domains)]
 	region, _, _ := strings.Cut(domain, "-")
 	settings := map[string]any{
 		"Node": fmt.Sprintf("vm-%d", i), "Zone": domain, "Region": region,
 		"Zones":  map[string]string{"east-a": "east", "north-a": "north", "west-a": "west"},
-		"Listen": map[string]string{"Front": p.callerAddress, "Ready": p.readinessAddress, "Control": freeAddress(r.t)},
+		"Listen": map[string]string{"Front": p.callerAddress, "Ready": p.readinessAddress, "Control": p.controlAddress},
 		"Bounds": map[string]float64{"GraceS": 4, "RetryBudgetRatio": 0.2, "BudgetSlack": 56, "ColdOverage": 1.5, "ColdSlack": 5},
-		"Limits": map[string]float64{"CpuShare": 0.4, "Cores": 1}, "platform": map[string]string{"Address": p.storeLink.address},
+		"Limits": map[string]float64{"CpuShare": 0.4, "Cores": 1, "MemoryMb": memoryMB}, "platform": map[string]string{"Address": p.storeLink.address},
 	}
 	data, err := json.Marshal(settings)
 	require.NoError(r.t, err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,14 +34,20 @@
 	if testing.Short() {
 		t.Skip("a soak run takes several seconds")
 	}
-	binary := filepath.Join(t.TempDir(), "tillergate")
-	out, err := exec.Command("go", "build", "-o", binary, "../cmd/tillergate").CombinedOutput()
-	require.NoError(t, err, string(out))
+	binary := buildDaemon(t)
 	for _, seed := range seedsToRun(t) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { newRun(t, binary, seed).execute() })
 	}
 }
 
+// buildDaemon builds the daemon and returns the path of its program.
+func buildDaemon(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "tillergate")
+	out, err := exec.Command("go", "build", "-o", binary, "../cmd/tillergate").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return binary
+}
+
 // seedsToRun returns the seeds to run: the seed or number of new seeds given by flags, else the seeds in
 // testdata/seeds.json, which failed in the past, and seed 1.
 func seedsToRun(t *testing.T) []uint64 {
