Keep reads of the store when memory for messages is short

Cause, found on reading the change before: a read of the store is larger than a single sender without end, so it was the first to be cut off, and a daemon that starts beside such senders might not become ready.

Change: reads of the store and updates of other daemons are protected: they are not cut off for others and get their room from them, up to the limit. MemoryMb is checked in its own unit.

TestProtectedMessageGetsItsRoom failed before ("memory limit for received messages reached") and passes.

--- a/accountant/account.go
+++ b/accountant/account.go
@@ -46,12 +46,16 @@
 // makeRoom cuts off the largest holdings until there is room for n bytes more of h. It reports false if h is the
 // largest itself.
 func (a *Account) makeRoom(h *Holding, n int64) bool {
+	asker := size{h.id, h.bytes + n}
+	if h.protected {
+		asker.bytes = 0 // all others give way
+	}
 	for a.held+n > a.limit {
 		sizes := make([]size, 0, len(a.growing))
 		for id, g := range a.growing {
 			sizes = append(sizes, size{id, g.bytes})
 		}
-		id := choose(size{h.id, h.bytes}, n, sizes)
+		id := choose(asker, sizes)
 		if id == h.id {
 			return false
 		}
@@ -74,9 +78,9 @@
 	id      uint64
 	abort   func()
 	// The lock of the account protects the other fields.
-	bytes    int64
-	complete bool
-	cut      bool
+	bytes     int64
+	protected bool
+	cut       bool
 }
 
 // Add adds n bytes. It returns ErrLimit if the holding is or was cut off.
@@ -112,20 +116,20 @@
 func (h *Holding) grow(n int64) {
 	h.bytes += n
 	h.account.held += n
-	if !h.complete {
+	if !h.protected {
 		h.account.growing[h.id] = h
 	}
 }
 
-// Complete protects the holding from being cut off for others: its message was received as a whole, and work on it has
-// begun.
-func (h *Holding) Complete() {
+// Protect keeps the holding from being cut off for others, because work on its message has begun, or because the daemon
+// cannot serve without it.
+func (h *Holding) Protect() {
 	if h == nil {
 		return
 	}
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
-	h.complete = true
+	h.protected = true
 	delete(h.account.growing, h.id)
 }
 
@@ -137,7 +141,7 @@
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
 	h.clear()
-	h.complete = false
+	h.protected = false
 }
 
 // Release ends the holding. It may be called more than once.
--- a/accountant/account_test.go
+++ b/accountant/account_test.go
@@ -66,7 +66,7 @@
 				h.Release()
 				require.True(t, h.WasCut())
 			case 1:
-				h.Complete()
+				h.Protect()
 			case 2:
 				h.Reset()
 			default:
@@ -87,11 +87,11 @@
 }
 
 // A complete message must not be cut off for others, and what is in memory already must count.
-func TestCompleteMessageIsKept(t *testing.T) {
+func TestProtectedMessageIsKept(t *testing.T) {
 	a := accountant.New(100, func(int64) {})
 	whole, growing, answer := a.Open(func() { t.Fatal("cut off") }), a.Open(func() {}), a.Open(func() {})
 	require.NoError(t, whole.Add(90))
-	whole.Complete()
+	whole.Protect()
 	require.ErrorIs(t, growing.Add(20), accountant.ErrLimit)
 	answer.AddHeld(50)
 	require.EqualValues(t, 140, a.Held())
@@ -151,6 +151,29 @@
 	require.Eventually(t, func() bool { return a.Held() == 0 }, 5*time.Second, time.Millisecond, "bytes are left")
 }
 
+// A read of the store must get its room while many senders without end take all that is left, although it is larger
+// than any of them: without it the daemon cannot serve at all. It is cut off only beyond the limit.
+func TestProtectedMessageGetsItsRoom(t *testing.T) {
+	const limit, page, pages = 1000, 10, 90
+	a := accountant.New(limit, func(int64) {})
+	var endless [16]*accountant.Holding
+	for i := range endless {
+		endless[i] = a.Open(func() {})
+	}
+	store := a.Open(func() { t.Fatal("the read was cut off for another") })
+	store.Protect()
+	for range pages {
+		require.NoError(t, store.Add(page))
+		for i, e := range endless {
+			if e.Add(page) != nil {
+				endless[i] = a.Open(func() {})
+			}
+		}
+		require.LessOrEqual(t, a.Held(), int64(limit))
+	}
+	require.ErrorIs(t, store.Add(limit), accountant.ErrLimit)
+}
+
 func Example() {
 	a := accountant.New(100, func(bytes int64) { fmt.Println("cut off", bytes) })
 	large, small := a.Open(func() { fmt.Println("close the connection") }), a.Open(func() {})
--- a/accountant/stream.go
+++ b/accountant/stream.go
@@ -81,7 +81,7 @@
 // Complete reports that the message was received as a whole. Until Finish, the connection is not closed for others.
 func Complete(conn net.Conn) {
 	if c, ok := conn.(*Conn); ok {
-		c.holding.Complete()
+		c.holding.Protect()
 	}
 }
 
--- a/cmd/tillergate/main_test.go
+++ b/cmd/tillergate/main_test.go
@@ -32,6 +32,7 @@
 		{"unknown level", validSettings, []string{"run", "--log-level", "loud"}, exitUsage, "loud"},
 		{"settings that cannot be decoded", "{", []string{"run"}, exitUsage, "decode settings"},
 		{"settings without an address", `{"Node":"vm-1"}`, []string{"check"}, exitUsage, "is missing"},
+		{"negative memory", strings.Replace(validSettings, "{", `{"Limits":{"MemoryMb":-1},`, 1), []string{"check"}, exitUsage, "Limits.MemoryMb is -1, want 0 to"},
 		{"no settings file", "", []string{"run"}, exitUsage, "no such file"},
 	} {
 		path := filepath.Join(t.TempDir(), "settings.json")
--- a/follower/start.go
+++ b/follower/start.go
@@ -94,5 +94,6 @@
 func changesRequest(address string) forwarder.Request {
 	return forwarder.Request{
 		Address: address, Key: ChangesPath, Method: http.MethodGet, Host: address, Header: http.Header{}, URI: ChangesPath,
+		Protected: true,
 	}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -57,6 +57,8 @@
 	KeepAlive tiller.Millis
 	// MaxIdle is the maximum idle time of a connection reused for this request; 0 means no limit.
 	MaxIdle tiller.Millis
+	// Protected keeps the response from being cut off for others when memory is short.
+	Protected bool
 	// OnAccepted, if not nil, is called when the response header has arrived. confirm sends one byte after the
 	// request, which tells the other end that its header was seen in time. confirm may be called at most
 	// once, also after OnAccepted has returned. If it has not been called when the response is complete,
@@ -123,11 +125,14 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	held := c.account.Open(func() { _ = conn.Close() })
+	if r.Protected {
+		held.Protect()
+	}
 	conn.received.holding = held
 	resp, reusable, failure := conn.roundTrip(r)
 	conn.received.holding = nil
 	// From here on, abort must not close the connection, which may carry other requests.
-	held.Complete()
+	held.Protect()
 	reusable = reusable && !held.WasCut()
 	stopped := stop()
 	if failure == nil {
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -93,16 +93,19 @@
 func decodeAnswer(resp forwarder.Response) gatherer.Answer {
 	h := platform.ParseResponse(resp.Status, resp.Header)
 	return gatherer.Answer{
-		Status:      resp.Status,
-		Stamp:       h.Stamp,
-		NotExecuted: h.NotExecuted, UnprovenRejection: h.UnprovenRejection,
-		Anonymous:   h.RequestID == "",
-		Misdirected: resp.Status == http.StatusMisdirectedRequest,
-		Encoded:     resp.Header.Get("Content-Encoding") != "",
-		Body:        resp.Body,
-		Waiting:     h.Waiting,
-		Limited:     h.Limited, LimitPerSecond: h.LimitPerSecond,
-		Leaving: h.Leaving, Pause: h.Pause,
+		Status:            resp.Status,
+		Stamp:             h.Stamp,
+		NotExecuted:       h.NotExecuted,
+		UnprovenRejection: h.UnprovenRejection,
+		Anonymous:         h.RequestID == "",
+		Misdirected:       resp.Status == http.StatusMisdirectedRequest,
+		Encoded:           resp.Header.Get("Content-Encoding") != "",
+		Body:              resp.Body,
+		Waiting:           h.Waiting,
+		Limited:           h.Limited,
+		LimitPerSecond:    h.LimitPerSecond,
+		Leaving:           h.Leaving,
+		Pause:             h.Pause,
 	}
 }
 
--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -118,7 +118,8 @@
 }
 
 // Many upstreams, or many clients and daemons, send bytes without end at the same time, in heads and in bodies, or many
-// clients do not read large answers. The daemon must stay far below its memory limit, and clients of sound upstreams must get their answers.
+// clients do not read large answers. The daemon must stay far below its memory limit, and clients of sound upstreams
+// must get their answers.
 func TestSendersWithoutEndDoNotExhaustMemory(t *testing.T) {
 	if testing.Short() {
 		t.Skip("a soak run takes several seconds")
