--- a/review/lab2/left.go
+++ b/review/lab2/left.go
@@ -25,7 +25,7 @@
 
 func init() { cases["left"] = playLeft }
 
-// playLeft removes the entry of a server while one daemon stands still and two others are killed and started again.
+// playLeft removes the entry of a server and restarts two daemons as planned while another one stands still.
 func playLeft(w *world) bool {
 	const drain, contact = 4 * time.Second, 5 * time.Second
 	w.store.put("op/config", onlyRoute("case-files", "idempotent"))
@@ -50,7 +50,20 @@
 		frozen.signal(syscall.SIGSTOP)
 	}
 	stopped := time.Now()
-	time.Sleep(500 * time.Millisecond)
+	at := func(d time.Duration) { time.Sleep(time.Until(stopped.Add(d))) }
+	var restarts sync.WaitGroup
+	for i, d := range []*daemon{first, second} { // A rolling restart.
+		restarts.Add(1)
+		go func() {
+			defer restarts.Done()
+			at(100*time.Millisecond + time.Duration(i)*time.Second)
+			d.signal(syscall.SIGTERM)
+			<-d.exited
+			time.Sleep(50 * time.Millisecond)
+			d.startProcess()
+		}()
+	}
+	at(500 * time.Millisecond)
 	left := servers[0]
 	w.store.remove("servers/" + left.id)
 	left.mu.Lock()
@@ -58,16 +71,11 @@
 	left.mu.Unlock()
 	gone := time.Now()
 	w.note("server %s: entry removed, it goes on serving", left.id)
+	at(4 * time.Second)
 	if w.trouble {
-		time.Sleep(300 * time.Millisecond)
-		first.kill()
-		second.kill()
-		time.Sleep(500 * time.Millisecond)
-		first.startProcess()
-		second.startProcess()
-		time.Sleep(time.Until(stopped.Add(4 * time.Second)))
 		frozen.signal(syscall.SIGCONT)
 	}
+	restarts.Wait()
 	time.Sleep(time.Until(stopped.Add(4*time.Second + contact + time.Second)))
 
 	var wg sync.WaitGroup
