Keep a planned stop when settings change

Cause: the goroutine that reads the settings again ended with the context of SIGTERM and removed the handler of SIGHUP. Its default action then ended the process, long before the end of the grace. Evidence: the process ends with "signal: hangup" and without the line "Daemon stopped", in all three cases of the test. Ruled out by that: the bound of the stop, and a failure in Reload.

Change: the handler is installed first and stays until the process exits, and settings are read until the daemon has stopped. Related path: the handler of SIGTERM was removed just before the exit, where a second SIGTERM would have replaced exit code 0; it stays too. tillerd has no settings to reload and restores the default action of a second SIGTERM on purpose; not changed.

TestSignalsDuringPlannedStopCutNoRequest failed before: requests that an upstream had run got EOF, in each of its three cases, in two runs. It passes with the change.

--- a/cmd/tillergate/main.go
+++ b/cmd/tillergate/main.go
@@ -43,14 +43,15 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := execute(ctx, os.Args[1:], os.Getenv(platform.SettingsVariable), os.Stdout, os.Stderr)
-	stop()
-	os.Exit(code)
+	// The handlers are never removed: the default action of a signal would end a daemon that is still stopping.
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	os.Exit(execute(ctx, os.Args[1:], os.Getenv(platform.SettingsVariable), os.Stdout, os.Stderr))
 }
 
 // execute runs the program until ctx ends and returns its exit code.
 func execute(ctx context.Context, args []string, settingsPath string, stdout, stderr io.Writer) int {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	var o options
 	_, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
 	var usage *flags.Error
@@ -87,7 +88,9 @@
 		debug.SetMemoryLimit(int64(collectShare * float64(limit)))
 	}
 	daemon := gatekeeper.New(settings, tiller.SystemClock(), log, lines.Dropped)
-	go reload(ctx, settingsPath, contents, log, daemon)
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go reload(background, settingsPath, contents, log, daemon, hup)
 	if err := daemon.Run(ctx); err != nil {
 		log.Error(err, "Daemon failed")
 		return exitFailed
@@ -109,11 +112,8 @@
 }
 
 // reload applies changes of the settings file to the daemon until ctx ends.
-// It checks the file every reloader.PollMillis and on SIGHUP.
-func reload(ctx context.Context, path string, contents []byte, log logr.Logger, daemon *gatekeeper.Gatekeeper) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// It checks the file every reloader.PollMillis and on each signal of hup.
+func reload(ctx context.Context, path string, contents []byte, log logr.Logger, daemon *gatekeeper.Gatekeeper, hup <-chan os.Signal) {
 	reloader.New(path, contents, log, func(contents []byte) error {
 		settings, err := platform.ParseSettings(contents)
 		if err != nil {
