Hand on all entries where a daemon missed changes before its start

Cause: the daemon that it follows after waking had started meanwhile from a seed. Its table then held all entries and no record of what had been removed before, and took that for a complete history. Evidence: a trial that logs each update shows one from revision 110 to 113 with one item and not marked as whole, from the daemon that had read the seed at revision 113; the removal lies between.

Change: whenever the entries are applied as a whole, the table notes that it missed the changes up to that revision: the first read, a seed, and all entries from another daemon while running, which were three paths. A follower at an older revision then gets all entries and removes the rest. A full hand-over is logged ("Read another daemon").

TestRemovalBeforeSourceReadIsLearned failed before in three of its four cases (first read, seed, another daemon; a further read of the store held) and passes.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -203,9 +203,6 @@
 		}
 	}
 	f.noteStoreAnswer()
-	if f.table.Revision() > 0 {
-		f.table.Reset(oldest)
-	}
 	f.applyAll(items, oldest, true)
 	f.emitRead()
 	f.log.Info("Read the store", "Revision", oldest, "Keys", len(items), "Stale", stale)
@@ -218,6 +215,9 @@
 // applyAll applies items that lead to a revision. If whole is true, items are the complete state, and
 // known entries that are not among them are removed.
 func (f *Follower) applyAll(items []platform.Item, revision int64, whole bool) {
+	if whole {
+		f.table.Reset(revision)
+	}
 	seen := make(map[string]bool, len(items))
 	for i, item := range items {
 		seen[item.Key] = true
--- /dev/null
+++ b/follower/missed_test.go
@@ -0,0 +1,160 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/accountant"
+	"github.com/carawaytiller/carawaytiller/cataloger"
+	"github.com/carawaytiller/carawaytiller/forwarder"
+	"github.com/carawaytiller/carawaytiller/gatherer"
+	"github.com/carawaytiller/carawaytiller/platform"
+	"github.com/carawaytiller/carawaytiller/platform/faker"
+)
+
+// known is a Follower and the upstreams that it has announced as present.
+type known struct {
+	*Follower
+	// source is how other daemons follow this one.
+	source    source
+	upstreams map[string]bool
+}
+
+// ids returns the upstreams that are present, sorted.
+func (k *known) ids() []string {
+	ids := make([]string, 0, len(k.upstreams))
+	for id := range k.upstreams {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// knowledge is a store, and the daemons that follow it or each other step by step.
+type knowledge struct {
+	t       *testing.T
+	ctx     context.Context
+	store   *faker.Store
+	address string
+	version int
+}
+
+func newKnowledge(t *testing.T) *knowledge {
+	store := faker.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	k := &knowledge{t: t, ctx: context.Background(), store: store, address: server.Listener.Addr().String()}
+	k.register("i-stays")
+	k.touch()
+	return k
+}
+
+// touch writes an entry under each other prefix, so that the revision of a stale read is that of the newest entries.
+func (k *knowledge) touch() {
+	k.version++
+	k.store.Put("op/config", fmt.Sprintf(`{"Version":%d,"Routes":[],"Services":[],"Limits":{}}`, k.version))
+	k.store.Put("status/rollout/s", "{}")
+	k.store.Put("fleet/members/vm", `{"VM":"vm","Address":"a","Region":"r"}`)
+}
+
+func (k *knowledge) register(id string) {
+	k.store.Put("servers/"+id, `{"Service":"s","Address":"10.0.0.1:80","Zone":"a","State":"ready"}`)
+}
+
+// daemon returns a Follower that knows nothing yet.
+func (k *knowledge) daemon() *known {
+	d := &known{upstreams: make(map[string]bool)}
+	emit := func(e gatherer.Event) {
+		switch e := e.(type) {
+		case gatherer.UpstreamChanged:
+			d.upstreams[e.Upstream.ID] = true
+		case gatherer.UpstreamGone:
+			delete(d.upstreams, e.ID)
+		}
+	}
+	clock, account := tiller.SystemClock(), accountant.New(1<<20, func(int64) {})
+	client := forwarder.New(clock, account, func(http.Header) string { return "" })
+	d.Follower = New(clock, platform.NewStore(k.address, account), client, logr.Discard(), map[string]string{"a": "r"},
+		cataloger.Member{VM: "vm-new"}, nil, NewTiming(0), Callbacks{Emit: emit, Lost: func() {}})
+	server := httptest.NewServer(http.HandlerFunc(d.ServeChanges))
+	k.t.Cleanup(server.Close)
+	d.source = source{origin: fromPeer, member: cataloger.Member{Address: server.Listener.Addr().String()}, maxAge: tiller.Minute}
+	return d
+}
+
+// started returns a daemon that has read the store and watched it once.
+func (k *knowledge) started() *known {
+	d := k.daemon()
+	require.NoError(k.t, d.readAll(k.ctx, true))
+	require.NoError(k.t, d.fetchChanges(k.ctx))
+	return d
+}
+
+// follow makes a daemon ask another one for changes once.
+func (k *knowledge) follow(d, other *known) {
+	require.NoError(k.t, d.followRelay(k.ctx, other.source))
+	require.Empty(k.t, d.excludedUntil)
+}
+
+// Guards against a daemon that follows another one and never learns of what was removed before that one's own
+// knowledge began: it went on using an upstream that had left.
+func TestRemovalBeforeSourceReadIsLearned(t *testing.T) {
+	// Each case returns a daemon whose entries are newer than the removal of i-left, and the daemon that follows it.
+	for name, play := range map[string]func(k *knowledge, leave func()) (follower, followed *known){
+		"source has read the store": func(k *knowledge, leave func()) (*known, *known) {
+			d := k.started()
+			leave()
+			return d, k.started()
+		},
+		"source has read a seed": func(k *knowledge, leave func()) (*known, *known) {
+			d := k.started()
+			leave()
+			seed, s := k.started(), k.daemon()
+			require.True(k.t, s.followSeed(k.ctx, seed.source.member.Address))
+			return d, s
+		},
+		"source has received all entries from another daemon": func(k *knowledge, leave func()) (*known, *known) {
+			k.store.Remove("servers/i-left")
+			s := k.started()
+			k.register("i-left")
+			d := k.started()
+			leave()
+			k.follow(s, k.started())
+			return d, s
+		},
+		"source has read the store again": func(k *knowledge, leave func()) (*known, *known) {
+			k.store.Remove("servers/i-left")
+			s := k.started()
+			k.register("i-left")
+			d := k.started()
+			leave()
+			require.NoError(k.t, s.readAll(k.ctx, false))
+			return d, s
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := newKnowledge(t)
+			k.register("i-left")
+			d, s := play(k, func() {
+				k.store.Remove("servers/i-left")
+				k.register("i-new")
+				k.touch()
+			})
+			require.Equal(t, []string{"i-left", "i-stays"}, d.ids())
+			k.follow(d, s)
+			require.Equal(t, []string{"i-new", "i-stays"}, d.ids())
+			// A daemon that follows the follower learns it as well.
+			second := k.daemon()
+			require.True(t, second.followSeed(k.ctx, d.source.member.Address))
+			require.Equal(t, []string{"i-new", "i-stays"}, second.ids())
+		})
+	}
+}
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -221,6 +221,9 @@
 		return nil
 	}
 	f.applyUpdate(update)
+	if update.Whole {
+		f.log.Info("Read another daemon", "VM", m.VM, "Revision", update.Revision, "Keys", len(update.Items), "Age", update.Age)
+	}
 	return nil
 }
 
--- a/follower/table.go
+++ b/follower/table.go
@@ -30,9 +30,10 @@
 	mu      sync.Mutex
 	items   map[string]platform.Item
 	changes []platform.Item
-	// discardedThrough is the revision up to which changes may have been discarded or missed.
-	discardedThrough int64
-	revision         int64
+	// missedThrough is the revision up to which changes may be missing from changes: they were made before
+	// a complete read, or were discarded.
+	missedThrough int64
+	revision      int64
 	// changed is closed and replaced when the revision grows.
 	changed chan struct{}
 }
@@ -58,7 +59,7 @@
 	}
 	t.changes = append(t.changes, item)
 	if len(t.changes) > maxChanges {
-		t.discardedThrough = t.changes[0].Revision
+		t.missedThrough = t.changes[0].Revision
 		t.changes = append([]platform.Item(nil), t.changes[1:]...)
 	}
 	return true
@@ -77,12 +78,12 @@
 	t.changed = make(chan struct{})
 }
 
-// Reset records that changes up to a revision were missed. Followers at an older revision then receive
-// all entries.
+// Reset records that changes up to a revision were missed, because the entries were read as a whole.
+// Followers at an older revision then receive all entries.
 func (t *Table) Reset(revision int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.changes, t.discardedThrough = nil, revision
+	t.changes, t.missedThrough = nil, revision
 }
 
 // Revision returns the revision of the store that the table reflects; 0 if nothing was read yet.
@@ -114,7 +115,7 @@
 	if t.revision <= after {
 		return u, t.changed
 	}
-	if after < t.discardedThrough || after == 0 {
+	if after < t.missedThrough || after == 0 {
 		u.Whole = true
 		for _, item := range t.items {
 			u.Items = append(u.Items, item)
