Hand on the removal of an entry that the daemon itself never read

Daemons that follow, and had read the entry before, never learned of it: they keep a server that has left, an evacuation or a daemon that is gone. Shown by the test only, not seen in a run of real processes.

Change: the table hands on such a removal, although nothing changes for the daemon itself.

TestRemovalDuringSourceReadIsLearned failed before: the follower kept i-left.

--- a/follower/missed_test.go
+++ b/follower/missed_test.go
@@ -158,3 +158,25 @@
 		})
 	}
 }
+
+// Guards against a removal that is not handed on because the source never knew the entry: it was removed while the
+// source read the store, whose pages are of different age.
+func TestRemovalDuringSourceReadIsLearned(t *testing.T) {
+	k := newKnowledge(t)
+	k.register("i-left")
+	d := k.started()
+	s := k.daemon()
+	items, revision, err := s.store.Range(k.ctx, "", false)
+	require.NoError(t, err)
+	k.store.Remove("servers/i-left")
+	k.register("i-new")
+	items = slices.DeleteFunc(items, func(item platform.Item) bool { return item.Key == "servers/i-left" })
+	s.applyAll(items, revision, true)
+	changes, revision, err := s.store.Watch(k.ctx, "", revision, 1)
+	require.NoError(t, err)
+	s.noteStoreAnswer()
+	s.applyAll(changes, revision, false)
+	require.Equal(t, []string{"i-new", "i-stays"}, s.ids())
+	k.follow(d, s)
+	require.Equal(t, []string{"i-new", "i-stays"}, d.ids())
+}
--- a/follower/table.go
+++ b/follower/table.go
@@ -43,13 +43,14 @@
 	return &Table{items: make(map[string]platform.Item), changed: make(chan struct{})}
 }
 
-// Apply stores the state of a key. It returns false if it ignores the state: one that is not newer
-// than the known state, or the removal of an unknown key.
+// Apply stores the state of a key. It returns false if that changes nothing here: a state that is not
+// newer than the known one, or the removal of an unknown key. Such a removal is handed on, because a
+// follower may know the key.
 func (t *Table) Apply(item platform.Item) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known, ok := t.items[item.Key]
-	if ok && item.Revision <= known.Revision || !ok && item.Deleted {
+	if ok && item.Revision <= known.Revision {
 		return false
 	}
 	if item.Deleted {
@@ -57,12 +58,17 @@
 	} else {
 		t.items[item.Key] = item
 	}
+	t.record(item)
+	return ok || !item.Deleted
+}
+
+// record keeps a change for followers.
+func (t *Table) record(item platform.Item) {
 	t.changes = append(t.changes, item)
 	if len(t.changes) > maxChanges {
 		t.missedThrough = t.changes[0].Revision
 		t.changes = append([]platform.Item(nil), t.changes[1:]...)
 	}
-	return true
 }
 
 // Advance records that everything up to a revision was applied, and wakes the callers that wait for
