Do not take discarded changes of a large table for known

With more than 2,000 of them the oldest records are discarded, and the bound up to which changes are missing was set to the revision of the one discarded last, which may be far lower. A follower then got a part of the changes as if it were all. Shown by the test only.

Change: entries at or below the bound aren't recorded, and the bound never falls.

--- a/follower/missed_test.go
+++ b/follower/missed_test.go
@@ -180,3 +180,29 @@
 	k.follow(d, s)
 	require.Equal(t, []string{"i-new", "i-stays"}, d.ids())
 }
+
+// Guards against a table of many entries that takes changes which it has discarded for known.
+func TestDiscardedChangesOfLargeTableAreMissed(t *testing.T) {
+	const entries = maxChanges + 500
+	table := NewTable()
+	table.Reset(2 * entries)
+	// Entries are read by key and not by revision.
+	for i := range int64(entries) {
+		table.Apply(platform.Item{Key: fmt.Sprint(i), Revision: 2*entries - i})
+	}
+	table.Advance(2 * entries)
+	for i := range int64(entries) {
+		table.Apply(platform.Item{Key: fmt.Sprint(i), Revision: 4*entries - i})
+	}
+	table.Advance(4 * entries)
+	for after := int64(1); after < 4*entries; after += 100 {
+		update, _ := table.Since(after)
+		changed := 0
+		for i := range int64(entries) {
+			if 4*entries-i > after {
+				changed++
+			}
+		}
+		require.True(t, update.Whole || len(update.Items) >= changed, "after %d: %d items of %d changed", after, len(update.Items), changed)
+	}
+}
--- a/follower/table.go
+++ b/follower/table.go
@@ -62,11 +62,14 @@
 	return ok || !item.Deleted
 }
 
-// record keeps a change for followers.
+// record keeps a change for followers. Entries that are read as a whole come in no order of revisions.
 func (t *Table) record(item platform.Item) {
+	if item.Revision <= t.missedThrough {
+		return
+	}
 	t.changes = append(t.changes, item)
 	if len(t.changes) > maxChanges {
-		t.missedThrough = t.changes[0].Revision
+		t.missedThrough = max(t.missedThrough, t.changes[0].Revision)
 		t.changes = append([]platform.Item(nil), t.changes[1:]...)
 	}
 }
