Keep changes that are newer than a complete read

Shown by the test only.

Change: a complete read drops the records up to its revision and keeps the others; the bound of missed changes never falls.

TestNewerChangesOutlastCompleteRead failed before (no item instead of the one at revision 55).

--- a/follower/missed_test.go
+++ b/follower/missed_test.go
@@ -206,3 +206,20 @@
 		require.True(t, update.Whole || len(update.Items) >= changed, "after %d: %d items of %d changed", after, len(update.Items), changed)
 	}
 }
+
+// Guards against a read of the store that drops changes which are newer than its revision, so that a follower between
+// the two never gets them.
+func TestNewerChangesOutlastCompleteRead(t *testing.T) {
+	table := NewTable()
+	table.Reset(30)
+	table.Apply(platform.Item{Key: "a", Revision: 55})
+	table.Advance(30)
+	table.Reset(52)
+	table.Advance(60)
+	update, _ := table.Since(53)
+	require.False(t, update.Whole)
+	require.Equal(t, []platform.Item{{Key: "a", Revision: 55}}, update.Items)
+	table.Reset(40)
+	update, _ = table.Since(45)
+	require.True(t, update.Whole, "changes up to revision 52 were missed")
+}
--- a/follower/table.go
+++ b/follower/table.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"slices"
 	"sync"
 
 	tiller "github.com/carawaytiller/carawaytiller"
@@ -88,11 +89,12 @@
 }
 
 // Reset records that changes up to a revision were missed, because the entries were read as a whole.
-// Followers at an older revision then receive all entries.
+// Followers at an older revision then receive all entries. Newer changes are kept.
 func (t *Table) Reset(revision int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.changes, t.missedThrough = nil, revision
+	t.missedThrough = max(t.missedThrough, revision)
+	t.changes = slices.DeleteFunc(t.changes, func(item platform.Item) bool { return item.Revision <= t.missedThrough })
 }
 
 // Revision returns the revision of the store that the table reflects; 0 if nothing was read yet.
