Continue a stale read from its oldest page

Cause: the pages of a stale read may come from copies of different age. The read claimed the revision of the newest item of all pages, so the watch that follows never returned a change that only the older page lacked. Evidence: TestStaleRangeReflectsItsOldestPage, where the read claimed revision 8 with a first page that reflects 3. Related path: a page without items doesn't tell its age, which was handled for the first page only; now for each.

Change: a stale read counts for the least revision that one of its pages reflects, and for none if a page has no items; then the store's newest state is read.

TestDaemonsKnowAllChangesUpToTheirRevision checks this for random reads, watches, hand-overs and restarts.

TestStaleRangeReflectsItsOldestPage failed before in four of its five cases.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -190,8 +190,8 @@
 	var oldest int64
 	for _, prefix := range []string{platform.OperatorsPrefix(), platform.UpstreamPrefix(), platform.FleetPrefix(), platform.StatusPrefix()} {
 		page, revision, err := f.store.Range(ctx, prefix, stale)
-		if err == nil && stale && len(page) == 0 {
-			// A stale read without items does not tell which revision it reflects.
+		if err == nil && stale && revision == 0 {
+			// It is not known which revision the stale read reflects.
 			page, revision, err = f.store.Range(ctx, prefix, false)
 		}
 		if err != nil {
--- a/follower/missed_test.go
+++ b/follower/missed_test.go
@@ -25,7 +25,7 @@
 	*Follower
 	// source is how other daemons follow this one.
 	source    source
-	upstreams map[string]bool
+	upstreams map[string]cataloger.Upstream
 }
 
 // ids returns the upstreams that are present, sorted.
@@ -71,11 +71,11 @@
 
 // daemon returns a Follower that knows nothing yet.
 func (k *knowledge) daemon() *known {
-	d := &known{upstreams: make(map[string]bool)}
+	d := &known{upstreams: make(map[string]cataloger.Upstream)}
 	emit := func(e gatherer.Event) {
 		switch e := e.(type) {
 		case gatherer.UpstreamChanged:
-			d.upstreams[e.Upstream.ID] = true
+			d.upstreams[e.Upstream.ID] = e.Upstream
 		case gatherer.UpstreamGone:
 			delete(d.upstreams, e.ID)
 		}
