Refuse responses without a valid status

Cause: the forwarder took each status below 200 for an interim response and read on, and had no upper bound.

Change: package verifier says what an interim and what a final response is. Any other response is a failure that may have run, at once, and its connection is closed: status below 100, 101 (the daemon never asks for another protocol), above 599, and an interim response that declares a body. The reason is Mismatch, which doesn't count as a crash. All paths that use the forwarder are covered: upstreams, sub-queries, probes and reports of daemons, changes.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 
 	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/accountant"
+	"github.com/carawaytiller/carawaytiller/verifier"
 )
 
 const (
@@ -402,8 +403,8 @@
 	return b.Bytes()
 }
 
-// readResponse reads one complete response, and skips interim (1xx) responses. The second result reports whether
-// the connection is reusable.
+// readResponse reads one complete response, and skips interim (1xx) responses. A response without a valid status is a
+// failure, whatever follows its head. The second result reports whether the connection is reusable.
 func (c *connection) readResponse(r Request) (Response, bool, *tiller.Failure) {
 	request := &http.Request{Method: r.Method}
 	var confirmed atomic.Bool
@@ -414,9 +415,12 @@
 		if err != nil {
 			return Response{}, false, c.received.failure(err)
 		}
-		if resp.StatusCode < 200 {
+		if verifier.IsInterim(resp) {
 			continue
 		}
+		if err := verifier.CheckStatus(resp.StatusCode); err != nil {
+			return Response{}, false, tiller.NewFailure(tiller.MayHaveRun, tiller.ReasonMismatch, err)
+		}
 		if r.OnAccepted != nil {
 			r.OnAccepted(func() {
 				_, err := c.Write(confirmationByte)
