Take no promise from a response without a valid status in tillerd

After a 101 a search waited for ever, after a 000 without length until the connection counted as silent.

Change: both check the status first. The search may have run (Mismatch), the write too; over HTTP/1.1 the connection to the upstream is closed.

TestStatusThatIsNoAnswerMayHaveRun failed before in its nine cases (000 and 600 with NotRun, 101 before a reply still waiting after 12 s), TestStoreStatusThatIsNoAnswerMayHaveRun with NotRun.

Not changed: the clients in tillerctl, tillerload and the demonstration, which no other caller depends on.

--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 
 	tiller "github.com/carawaytiller/carawaytiller"
+	"github.com/carawaytiller/carawaytiller/verifier"
 )
 
 var (
@@ -34,6 +35,8 @@
 	// roundTripErr is the error of the round trip, readErr the error of reading the response body.
 	roundTripErr error
 	readErr      error
+	// statusErr is set if the status of the response is not that of a final one.
+	statusErr error
 }
 
 // newExchange returns an exchange on c, for which the caller has a reservation, and the context that
@@ -71,10 +74,23 @@
 		e.roundTripErr = err
 		return nil, err
 	}
+	if e.statusErr = verifier.CheckStatus(resp.StatusCode); e.statusErr != nil {
+		e.reject(resp)
+		return nil, e.statusErr
+	}
 	resp.Body = &responseBody{ReadCloser: resp.Body, exchange: e, remaining: maxResponseBytes}
 	return resp, nil
 }
 
+// reject ends a response whose body is not read. Over HTTP/1.1 the bytes that follow it may look like the next response,
+// so the connection is closed.
+func (e *exchange) reject(resp *http.Response) {
+	if e.conn.isHTTP1 {
+		e.conn.pool.discard(e.conn, tiller.ReasonMismatch)
+	}
+	_ = resp.Body.Close()
+}
+
 func (e *exchange) isExpired() bool {
 	return e.conn.pool.now() > e.validUntil
 }
--- a/dialer/failure.go
+++ b/dialer/failure.go
@@ -75,6 +75,8 @@
 	switch closeReason := p.closeReasonOf(e.conn); {
 	case errors.Is(e.roundTripErr, errLeaseExpired), e.hasLeaseExpired.Load():
 		return tiller.ReasonLeaseExpired
+	case e.statusErr != nil:
+		return tiller.ReasonMismatch
 	case closeReason != "":
 		return closeReason
 	case ctx.Err() != nil:
--- a/keeper/platform.go
+++ b/keeper/platform.go
@@ -9,6 +9,7 @@
 
 	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/api/platform"
+	"github.com/carawaytiller/carawaytiller/verifier"
 )
 
 // Errors of the store. They are wrapped in a *tiller.Failure.
@@ -55,7 +56,7 @@
 
 // Connect returns a Platform that calls address, such as 127.0.0.1:7000, over HTTP with the given client.
 func Connect(address string, client *http.Client) (Platform, error) {
-	c, err := platform.NewClient("http://"+address, platform.WithClient(client))
+	c, err := platform.NewClient("http://"+address, platform.WithClient(verifier.New(client.Do)))
 	if err != nil {
 		return Platform{}, errors.Wrap(err, "platform client")
 	}
