Let the soak change settings in stops, and let upstreams leave

The soak had no SIGHUP, no signal in a planned stop, no upstream that leaves, pages of the store of one age only, and no invalid status. They are now drawn in series beside the faults. At the end, upstreams that have left and still serve must get no request any more. The draws of the faults stay as they were for a given seed.

SIGHUP is not sent in the first 200 ms of a process: its handler isn't installed for some milliseconds, in which no request is there.

--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -31,6 +31,10 @@
 	topK       = 9
 	records    = 12
 	attempts   = 2
+	// stalePageSize is the number of entries on a page of the store, maxRevisionsBehind the bound of how old a stale
+	// page is.
+	stalePageSize      = 10
+	maxRevisionsBehind = 12
 )
 
 // closeRaceWindow is the time after sending a request in which a planned stop may still close its connection, provided
@@ -63,6 +67,8 @@
 	closedByStop []string
 	// queries holds the request identifiers of the queries over all shards.
 	queries []string
+	// departed are the upstreams that have left and still serve, with their services.
+	departed map[string]*faker.Upstream
 }
 
 // process is one daemon process.
@@ -71,7 +77,10 @@
 
 	settingsFile string
 	storeLink    *proxy
-	cmd          *exec.Cmd
+	// mu guards cmd and startedAt, which a restart replaces while signals are sent.
+	mu        sync.Mutex
+	cmd       *exec.Cmd
+	startedAt time.Time
 	// stopping is true during a planned stop.
 	stopping atomic.Bool
 	paused   bool
@@ -80,8 +89,11 @@
 func newRun(t *testing.T, binary string, seed uint64) *run {
 	r := &run{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 11)), binary: binary, store: faker.NewStore(),
-		outcomes: make(map[string]int), upstreamsByService: make(map[string][]*faker.Upstream),
+		outcomes: make(map[string]int), upstreamsByService: make(map[string][]*faker.Upstream), departed: make(map[string]*faker.Upstream),
 	}
+	// Pages are small and of different age.
+	staleness := rand.New(rand.NewPCG(seed, 13))
+	r.store.SetPages(stalePageSize, func(int) int64 { return staleness.Int64N(maxRevisionsBehind) })
 	store := httptest.NewServer(r.store)
 	t.Cleanup(store.Close)
 	for i := range shardCount {
@@ -161,10 +173,15 @@
 	}
 	domain := domains[i%len(domains)]
 	region, _, _ := strings.Cut(domain, "-")
+	seeds := []string{p.controlAddress}
+	if len(r.processes) > 0 {
+		seeds = []string{r.processes[0].controlAddress}
+	}
 	settings := map[string]any{
 		"Node": fmt.Sprintf("vm-%d", i), "Zone": domain, "Region": region,
 		"Zones":  map[string]string{"east-a": "east", "north-a": "north", "west-a": "west"},
 		"Listen": map[string]string{"Front": p.callerAddress, "Ready": p.readinessAddress, "Control": p.controlAddress},
+		"Seeds":  seeds,
 		"Bounds": map[string]float64{"GraceS": 4, "RetryBudgetRatio": 0.2, "BudgetSlack": 56, "ColdOverage": 1.5, "ColdSlack": 5},
 		"Limits": map[string]float64{"CpuShare": 0.4, "Cores": 1, "MemoryMb": memoryMB}, "platform": map[string]string{"Address": p.storeLink.address},
 	}
@@ -176,12 +193,15 @@
 }
 
 func (r *run) start(p *process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.cmd = exec.Command(r.binary, "run")
 	p.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settingsFile)
 	log, err := os.OpenFile(p.settingsFile+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(r.t, err)
 	defer func() { _ = log.Close() }()
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.startedAt = time.Now()
 	require.NoError(r.t, p.cmd.Start())
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -86,6 +86,8 @@
 		go r.client(i, stop)
 	}
 	deadline := time.Now().Add(faultTime)
+	r.wg.Add(1)
+	go r.injectChanges(deadline)
 	for time.Now().Before(deadline) {
 		r.injectFault()
 		time.Sleep(time.Duration(100+r.random.IntN(700)) * time.Millisecond)
@@ -93,6 +95,7 @@
 	r.clearFaults()
 	r.putConfig()
 	time.Sleep(recoveryTime)
+	late := r.departedRequests()
 	r.requireNewestVersion()
 	before := r.served.Load()
 	time.Sleep(time.Second)
@@ -102,6 +105,7 @@
 	r.requireRuns()
 	r.requireClosedNotRun()
 	r.requireAttempts()
+	require.Equal(r.t, late, r.departedRequests(), "seed %d: upstreams that have left still got requests %v after the last fault: %v", r.seed, recoveryTime, r.faults)
 	require.Empty(r.t, r.violations, "seed %d", r.seed)
 	r.t.Logf("seed %d: %d served, %d refused, %d unanswered, faults %v", r.seed, r.served.Load(), r.refused.Load(), r.unanswered.Load(), r.faults)
 }
