--- a/gatekeeper/status_test.go
+++ b/gatekeeper/status_test.go
@@ -1,7 +1,6 @@
 package gatekeeper_test
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/carawaytiller/carawaytiller/platform/faker"
 )
 
 // serveRaw answers each request on a new listener with reply, in which ID stands for the request's ID. It returns the
@@ -20,27 +21,10 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	requests = &atomic.Int64{}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				r := bufio.NewReader(conn)
-				for {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					requests.Add(1)
-					id := req.Header.Get("X-Carawaytiller-Request-Id")
-					_, _ = fmt.Fprint(conn, strings.ReplaceAll(reply, "ID", id))
-				}
-			}()
-		}
-	}()
+	go faker.ServeRaw(l, func(id string) string {
+		requests.Add(1)
+		return strings.ReplaceAll(reply, "ID", id)
+	})
 	return l.Addr().String(), requests
 }
 
