Let the soak run with any number of daemons

Long runs by hand need some with as many processes as the machine bears. -daemons N sets the number; the default stays 6, so known seeds draw as before.

--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -26,7 +26,6 @@
 
 const (
 	clients    = 12
-	daemons    = 6
 	shardCount = 8
 	topK       = 9
 	records    = 12
@@ -105,7 +104,7 @@
 		r.addUpstream(fmt.Sprintf("i-once-%d", j), "once", domains[j])
 	}
 	r.putConfig()
-	for i := range daemons {
+	for i := range *daemons {
 		r.processes = append(r.processes, r.newProcess(i, store.Listener.Addr().String()))
 	}
 	t.Cleanup(func() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,7 +2,8 @@
 // signals, and proxies that delay or reset connections or discard their data. It checks the results
 // at clients and upstreams.
 //
-// go test ./soak -args -seeds 50 runs fifty new random seeds. -seed N repeats the run of one seed.
+// go test ./soak -args -seeds 50 runs fifty new random seeds. -seed N repeats the run of one seed,
+// -daemons N runs with that many processes.
 package soak_test
 
 import (
@@ -22,6 +23,8 @@
 var (
 	seeds = flag.Int("seeds", 0, "number of new random seeds to run")
 	seed  = flag.Uint64("seed", 0, "one seed to run")
+	// daemons is the number of processes. The draws of a seed differ between numbers.
+	daemons = flag.Int("daemons", 6, "number of daemons")
 )
 
 // regression is a seed that failed in the past, with the cause of the failure.
