Report a failed change of settings from the goroutine that makes it

require must not be called outside the test's own goroutine. The change of the settings file returns its error now, and is built without writing into the bytes it was read from, which was right only for numbers of the same length.

--- a/follower/simulation_test.go
+++ b/follower/simulation_test.go
@@ -154,8 +154,5 @@
 			}
 			s.requireKnown(s.step(), seed)
 		}
-		for _, d := range s.daemons {
-			d.client.Sweep()
-		}
 	}
 }
--- a/soak/change_test.go
+++ b/soak/change_test.go
@@ -22,7 +22,9 @@
 		case 0, 1:
 			for range 1 + random.IntN(3) {
 				p := r.processes[random.IntN(len(r.processes))]
-				p.changeSettings(r.t, 40+random.IntN(20))
+				if err := p.changeSettings(40 + random.IntN(20)); err != nil {
+					r.reportViolation("settings were not changed: %v", err)
+				}
 				p.signal(syscall.SIGHUP)
 			}
 		case 2:
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -66,7 +66,7 @@
 	closedByStop []string
 	// queries holds the request identifiers of the queries over all shards.
 	queries []string
-	// departed are the upstreams that have left and still serve, with their services.
+	// departed holds the upstreams that have left and still serve, by service.
 	departed map[string]*faker.Upstream
 }
 
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -17,16 +18,22 @@
 )
 
 // changeSettings writes settings to a daemon's file that differ in one bound from those before.
-func (p *process) changeSettings(t *testing.T, slack int) {
+func (p *process) changeSettings(slack int) error {
 	data, err := os.ReadFile(p.settingsFile)
-	require.NoError(t, err)
+	if err != nil {
+		return err
+	}
 	before, rest, found := bytes.Cut(data, []byte(`"BudgetSlack":`))
-	require.True(t, found)
-	rest = rest[bytes.IndexAny(rest, ",}"):]
-	data = append(fmt.Appendf(before, `"BudgetSlack":%d`, slack), rest...)
+	end := bytes.IndexAny(rest, ",}")
+	if !found || end < 0 {
+		return fmt.Errorf("settings without BudgetSlack: %s", data)
+	}
+	data = slices.Concat(before, fmt.Appendf(nil, `"BudgetSlack":%d`, slack), rest[end:])
 	// A rename keeps the daemon from reading a half-written file.
-	require.NoError(t, os.WriteFile(p.settingsFile+".new", data, 0o600))
-	require.NoError(t, os.Rename(p.settingsFile+".new", p.settingsFile))
+	if err := os.WriteFile(p.settingsFile+".new", data, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(p.settingsFile+".new", p.settingsFile)
 }
 
 // Guards against a planned stop that a further signal ends at once, which cut the requests that the daemon had passed
@@ -85,7 +92,7 @@
 			require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
 			for i, s := range signals {
 				time.Sleep(300 * time.Millisecond)
-				p.changeSettings(t, 40+i)
+				require.NoError(t, p.changeSettings(40+i))
 				require.NoError(t, p.cmd.Process.Signal(s), "the process ended after %d further signals: %s", i, processLog{p})
 			}
 			wg.Wait()
