--- a/follower/missed_test.go
+++ b/follower/missed_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
@@ -223,3 +225,24 @@
 	update, _ = table.Since(45)
 	require.True(t, update.Whole, "changes up to revision 52 were missed")
 }
+
+// Guards against a daemon's response without a valid status whose contents are applied as an update.
+func TestUpdateWithoutValidStatusIsNotApplied(t *testing.T) {
+	k := newKnowledge(t)
+	s, d := k.started(), k.daemon()
+	update, _ := s.table.Since(0)
+	body, err := s.encode(0, update)
+	require.NoError(t, err)
+	inside := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: 0\r\n%s: 0\r\nContent-Length: %d\r\n\r\n%s", ageHeader, holdHeader, len(body), body)
+	for _, head := range []string{"", "HTTP/1.1 000 Trouble\r\n\r\n", "HTTP/1.1 099 Trouble\r\n\r\n", "HTTP/1.1 101 Trouble\r\n\r\n"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		go faker.ServeRaw(l, func(string) string { return head + inside })
+		start := time.Now()
+		require.Equal(t, head == "", d.followSeed(k.ctx, l.Addr().String()), head)
+		require.Less(t, time.Since(start), 250*time.Millisecond)
+		require.Equal(t, head == "", len(d.upstreams) > 0)
+		d = k.daemon()
+	}
+}
