Test the probe of a daemon without a valid status

TestProbeWithoutValidStatusDoesNotReach shows it: with the forwarder of the daemon counts as reached, now it doesn't.

--- a/executor/status_test.go
+++ b/executor/status_test.go
@@ -57,3 +57,32 @@
 		})
 	}
 }
+
+// Guards against a probe that takes a response without a valid status for a daemon that can be reached.
+func TestProbeWithoutValidStatusDoesNotReach(t *testing.T) {
+	for _, head := range []string{"", "HTTP/1.1 000 Trouble\r\n\r\n", "HTTP/1.1 099 Trouble\r\n\r\n", "HTTP/1.1 101 Trouble\r\n\r\n", "HTTP/1.1 600 Trouble\r\n\r\n"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		go faker.ServeRaw(l, func(string) string { return head + "HTTP/1.1 204 No Content\r\n\r\n" })
+		clock, account := tiller.SystemClock(), accountant.New(1<<20, func(int64) {})
+		client := forwarder.New(clock, account, func(http.Header) string { return "" })
+		// A daemon that was not reached is probed again.
+		again := false
+		observer := Observer{Effect: func(e gatherer.Effect) {
+			if _, ok := e.(gatherer.Probe); ok {
+				again = true
+			}
+		}}
+		x := New(clock, client, Codec{}, observer, gatherer.New(gatherer.Settings{VM: "vm-1", Region: "r"}))
+		member := cataloger.Member{VM: "vm-2", Address: l.Addr().String(), Region: "r"}
+		x.Step(gatherer.MembersChanged{Members: []cataloger.Member{member}})
+		start := time.Now()
+		x.probePeer(member)
+		require.Less(t, time.Since(start), probeTimeout.Duration(), head)
+		x.Step(gatherer.MembersChanged{})
+		x.mu.Lock()
+		require.Equal(t, head != "", again, "%q", head)
+		x.mu.Unlock()
+	}
+}
