--- a/review/lab3/backend.go
+++ b/review/lab3/backend.go
@@ -37,10 +37,17 @@
 	born                       int64
 	server                     *http.Server
 	onRun                      func(run)
-	mu                         sync.Mutex
-	running                    int
+	// slots is the number of requests that run at a time; the backend rejects further ones. 0 means no limit.
+	slots int
+	// onCrash, if not nil, is called when a request crashes the backend.
+	onCrash func(*backend)
+	mu      sync.Mutex
+	running int
 }
 
+// deadly is part of the path of a request that crashes each backend that runs it.
+const deadly = "deadly"
+
 func startBackend(id, service, zone string, work time.Duration, onRun func(run)) (*backend, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -54,8 +61,12 @@
 
 // entry is what the backend writes of itself to the store.
 func (b *backend) entry(state string) map[string]any {
+	slots := 6
+	if b.slots > 0 {
+		slots = b.slots
+	}
 	return map[string]any{
-		"Service": b.service, "Address": b.address, "Zone": b.zone, "Version": "v1", "Slots": 6, "State": state,
+		"Service": b.service, "Address": b.address, "Zone": b.zone, "Version": "v1", "Slots": slots, "State": state,
 		"ColdMs": 0, "Sequence": 1, "born": b.born,
 	}
 }
@@ -80,10 +91,21 @@
 		return
 	}
 	b.mu.Lock()
+	if b.slots > 0 && b.running >= b.slots {
+		w.Header().Set("X-Carawaytiller-Server-Load", fmt.Sprintf("%d,0,%d", b.running, b.slots))
+		b.mu.Unlock()
+		w.Header().Set(notRunHeader, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	b.running++
 	w.Header().Set("X-Carawaytiller-Server-Load", fmt.Sprintf("%d,0,6", b.running))
 	b.mu.Unlock()
 	b.onRun(run{id: id, service: b.service, backend: b.id, target: r.Method + " " + r.RequestURI + " " + string(body), at: time.Now()})
+	if b.onCrash != nil && strings.Contains(r.URL.Path, deadly) {
+		b.onCrash(b)
+		return
+	}
 	select {
 	case <-time.After(b.work):
 	case <-r.Context().Done():
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -21,10 +21,10 @@
 // cases maps the name of a case to its function, which reports whether the rule was broken. Without trouble it runs the
 // same without the disruption.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
-	"restore":   restore,
-	"memory":    memory,
-	"writer":    writer,
-	"halfclose": halfClose,
+	"restore": restore,
+	"memory":  memory,
+	"writer":  writer,
+	"timer":   timer,
 }
 
 func main() { os.Exit(execute()) }
--- a/review/lab3/world.go
+++ b/review/lab3/world.go
@@ -25,6 +25,8 @@
 	runs    []run
 	answers []answer
 	nextID  int
+	// restarts is the number of backends that came back after a crash.
+	restarts int
 }
 
 // answer is what a client saw of one request.
@@ -166,16 +168,13 @@
 
 func (w *world) newClient(d *daemon) *client { return &client{world: w, d: d} }
 
-// get sends a request and records its answer. halfClose ends the client's sending side after the request; the client
-// then reads the answer.
-func (c *client) get(path string, deadline time.Duration, halfClose bool) answer {
+// get sends a request and records its answer.
+func (c *client) get(path string, deadline time.Duration) answer {
 	a := answer{id: c.world.newID(), target: "GET " + path, daemon: c.d.name, sent: time.Now()}
-	err := c.exchange(&a, path, deadline, halfClose)
+	err := c.exchange(&a, path, deadline)
 	a.took = time.Since(a.sent)
 	if err != nil {
 		a.err = err.Error()
-	}
-	if err != nil || halfClose {
 		c.close()
 	}
 	c.world.addAnswer(a)
@@ -189,7 +188,7 @@
 	}
 }
 
-func (c *client) exchange(a *answer, path string, deadline time.Duration, halfClose bool) error {
+func (c *client) exchange(a *answer, path string, deadline time.Duration) error {
 	a.kept = c.conn != nil
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp", c.d.front, time.Second)
@@ -200,17 +199,9 @@
 	}
 	_ = c.conn.SetDeadline(a.sent.Add(deadline))
 	request := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", path, host, requestIDHeader, a.id, deadlineHeader, deadline.Milliseconds())
-	if halfClose {
-		request += "Connection: close\r\n"
-	}
 	if _, err := io.WriteString(c.conn, request+"\r\n"); err != nil {
 		return err
 	}
-	if halfClose {
-		if err := c.conn.(*net.TCPConn).CloseWrite(); err != nil {
-			return err
-		}
-	}
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
 	if err != nil {
 		return err
@@ -238,7 +229,7 @@
 				case <-time.After(pause):
 				}
 				path := paths[i%len(paths)]
-				c.get(fmt.Sprintf("%s%x", path, i), time.Second, false)
+				c.get(fmt.Sprintf("%s%x", path, i), time.Second)
 			}
 		}()
 	}
--- a/review/lab3/writer.go
+++ b/review/lab3/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -81,3 +82,13 @@
 	w.note("successes with data of these servers: %d", answered)
 	return foreign > 0
 }
+
+// containsStamp reports whether a list of signatures holds one.
+func containsStamp(list, stamp string) bool {
+	for _, s := range strings.Split(list, ",") {
+		if strings.TrimSpace(s) == stamp {
+			return true
+		}
+	}
+	return false
+}
