Compare revisions of the store within an era only

Callers: after the store had come back from a copy 4.5 s old, no later configuration came into force on any daemon.

Cause: a revision was taken for an order over the whole life of the store. The table dropped each entry whose revision was not above the known one, did not go back to the store's revision, and handed the old entries on. Without 410, when new revisions had overtaken the known one, changes were missed silently.

Change: platform.Position is an era and a revision. A table holds one era. An answer of a later era leads to one complete read that replaces all entries in one step; answers of an earlier era and pages of different eras are refused. Daemons name positions to each other. What the copy lacks, and a drain that it takes back, stays in force until it is written again, 2.2 s at most. A store that states no era is in one era; daemons of earlier versions name none.

Ruled out: the gatherer's check of Version (it lets newer versions through, and none arrived), and a lost watch (reads came in, each entry was dropped).

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -63,6 +63,8 @@
 	// missingUntil holds the upstreams without an entry that may still register again, with the time
 	// at which they are removed.
 	missingUntil map[string]tiller.Millis
+	// keptUntil holds the keys whose state of an earlier era stays in force, with the time until which it does.
+	keptUntil map[string]tiller.Millis
 	// excludedUntil holds the daemons that failed as a source, with the time until which they are not
 	// used.
 	excludedUntil map[string]tiller.Millis
@@ -107,6 +109,7 @@
 		table:         NewTable(),
 		members:       make(map[string]cataloger.Member),
 		missingUntil:  make(map[string]tiller.Millis),
+		keptUntil:     make(map[string]tiller.Millis),
 		excludedUntil: make(map[string]tiller.Millis),
 	}
 }
@@ -151,9 +154,10 @@
 		sleep(ctx, min(max(f.storeRetryAt-f.clock.Now(), 1), retryMillis))
 		return nil
 	}
-	items, revision, err := f.store.Watch(ctx, "", f.table.Revision(), f.watchWait())
-	if errors.Is(err, platform.ErrCompacted) {
-		f.log.Info("History of the store was compacted, reading all entries", "After", f.table.Revision())
+	after := f.table.Position()
+	items, position, err := f.store.Watch(ctx, "", after, f.watchWait())
+	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrRestored) {
+		f.log.Info("Changes of the store cannot be followed, reading all entries", "Cause", err.Error(), "After", after.Revision, "Era", after.Era)
 		return f.readAll(ctx, false)
 	}
 	if err != nil {
@@ -164,12 +168,12 @@
 	if len(items) == 0 {
 		f.changedWatches = 0
 	}
-	f.applyAll(items, revision, false)
+	f.applyAll(items, position, false)
 	return nil
 }
 
 // watchWait returns how long the next watch waits for changes. The wait ends before a missing upstream
-// must be removed.
+// must be removed, or a kept state ends.
 func (f *Follower) watchWait() tiller.Millis {
 	if f.storeFailing() {
 		// A watch that returns at once shows earlier than a waiting one that the store has recovered.
@@ -177,46 +181,58 @@
 	}
 	wait := f.timing.WatchWait(f.changedWatches)
 	now := f.clock.Now()
-	for _, at := range f.missingUntil {
-		wait = min(wait, max(at-now, 1))
+	for _, waiting := range []map[string]tiller.Millis{f.missingUntil, f.keptUntil} {
+		for _, at := range waiting {
+			wait = min(wait, max(at-now, 1))
+		}
 	}
 	return wait
 }
 
 // readAll reads all entries. Stale reads are cheap and return an older state; the next watch continues
-// from the oldest revision.
+// from the oldest revision. It fails if the answers are of different eras, or of an earlier one than the table.
 func (f *Follower) readAll(ctx context.Context, stale bool) error {
 	var items []platform.Item
-	var oldest int64
-	for _, prefix := range []string{platform.OperatorsPrefix(), platform.UpstreamPrefix(), platform.FleetPrefix(), platform.StatusPrefix()} {
-		page, revision, err := f.store.Range(ctx, prefix, stale)
-		if err == nil && stale && revision == 0 {
+	var oldest platform.Position
+	for i, prefix := range []string{platform.OperatorsPrefix(), platform.UpstreamPrefix(), platform.FleetPrefix(), platform.StatusPrefix()} {
+		page, position, err := f.store.Range(ctx, prefix, stale)
+		if err == nil && stale && position.Revision == 0 {
 			// It is not known which revision the stale read reflects.
-			page, revision, err = f.store.Range(ctx, prefix, false)
+			page, position, err = f.store.Range(ctx, prefix, false)
 		}
 		if err != nil {
 			return err
 		}
+		if i > 0 && position.Era != oldest.Era {
+			return errors.Errorf("entries under %q are of era %d, others of era %d", prefix, position.Era, oldest.Era)
+		}
 		items = append(items, page...)
-		if oldest == 0 || revision < oldest {
-			oldest = revision
+		if i == 0 || position.Before(oldest) {
+			oldest = position
 		}
 	}
+	if known := f.table.Position().Era; oldest.Era < known {
+		return errors.Wrapf(platform.ErrOutdated, "entries are of era %d, the known ones of era %d", oldest.Era, known)
+	}
 	f.noteStoreAnswer()
 	f.applyAll(items, oldest, true)
 	f.emitRead()
-	f.log.Info("Read the store", "Revision", oldest, "Keys", len(items), "Stale", stale)
+	f.log.Info("Read the store", "Era", oldest.Era, "Revision", oldest.Revision, "Keys", len(items), "Stale", stale)
 	return nil
 }
 
 // emitRead emits that all entries are known.
 func (f *Follower) emitRead() { f.emit(gatherer.StoreRead{}) }
 
-// applyAll applies items that lead to a revision. If whole is true, items are the complete state, and
-// known entries that are not among them are removed.
-func (f *Follower) applyAll(items []platform.Item, revision int64, whole bool) {
+// applyAll applies items that lead to a position. If whole is true, items are the complete state, and
+// known entries that are not among them are removed. Only a complete state may be of another era than the known one.
+func (f *Follower) applyAll(items []platform.Item, to platform.Position, whole bool) {
+	if from := f.table.Position(); whole && from.Revision > 0 && from.Era != to.Era {
+		f.applyRestored(items, to)
+		return
+	}
 	if whole {
-		f.table.Reset(revision)
+		f.table.Reset(to.Revision)
 	}
 	seen := make(map[string]bool, len(items))
 	for i, item := range items {
@@ -227,19 +243,24 @@
 		}
 	}
 	if whole {
-		for _, key := range f.table.Missing(seen, revision) {
-			f.apply(platform.Item{Key: key, Revision: revision + 1, Deleted: true})
+		for _, key := range f.table.Missing(seen, to.Revision) {
+			f.apply(platform.Item{Key: key, Revision: to.Revision + 1, Deleted: true})
 		}
 	}
 	f.emitMembers()
-	f.table.Advance(revision)
+	f.table.Advance(to)
 }
 
 // apply stores the state of one key and emits the events that follow from it.
 func (f *Follower) apply(item platform.Item) {
-	if !f.table.Apply(item) {
-		return
+	if f.table.Apply(item) {
+		f.emitState(item)
 	}
+}
+
+// emitState emits the events that follow from the state of one key. A state that was kept for the key ends.
+func (f *Follower) emitState(item platform.Item) {
+	delete(f.keptUntil, item.Key)
 	if id, ok := platform.UpstreamID(item.Key); ok {
 		f.applyUpstream(id, item)
 	} else if domain, ok := platform.EvacuatedDomain(item.Key); ok {
@@ -292,8 +313,9 @@
 	f.emit(gatherer.UpstreamGone{ID: id})
 }
 
-// removeExpired removes the missing upstreams whose grace period has ended.
+// removeExpired removes the missing upstreams whose grace period has ended, and ends kept states.
 func (f *Follower) removeExpired() {
+	f.endKept()
 	now := f.clock.Now()
 	for id, at := range f.missingUntil {
 		if now >= at {
@@ -346,7 +368,8 @@
 // noteStoreFailure records a failed store call and schedules the next one.
 func (f *Follower) noteStoreFailure(err error) {
 	if !f.storeFailing() {
-		f.log.Info("Store lost", "Cause", strings.TrimSpace(err.Error()), "Revision", f.table.Revision())
+		known := f.table.Position()
+		f.log.Info("Store lost", "Cause", strings.TrimSpace(err.Error()), "Era", known.Era, "Revision", known.Revision)
 	}
 	now := f.clock.Now()
 	f.storeRetryAt = now + f.timing.StoreRetryDelay(f.failures, now-f.lastAnswerAt)
--- a/follower/missed_test.go
+++ b/follower/missed_test.go
@@ -28,6 +28,13 @@
 	// source is how other daemons follow this one.
 	source    source
 	upstreams map[string]cataloger.Upstream
+	// version is that of the configuration, out holds the failure domains that are out of service, members the other
+	// daemons.
+	version int64
+	out     map[string]bool
+	members []string
+	// lost counts the reports that the daemon's own entry is missing.
+	lost int
 }
 
 // ids returns the upstreams that are present, sorted.
@@ -47,6 +54,8 @@
 	store   *faker.Store
 	address string
 	version int
+	// passed is added to the time of all daemons.
+	passed tiller.Millis
 }
 
 func newKnowledge(t *testing.T) *knowledge {
@@ -73,19 +82,32 @@
 
 // daemon returns a Follower that knows nothing yet.
 func (k *knowledge) daemon() *known {
-	d := &known{upstreams: make(map[string]cataloger.Upstream)}
+	d := &known{upstreams: make(map[string]cataloger.Upstream), out: make(map[string]bool)}
 	emit := func(e gatherer.Event) {
 		switch e := e.(type) {
 		case gatherer.UpstreamChanged:
 			d.upstreams[e.Upstream.ID] = e.Upstream
 		case gatherer.UpstreamGone:
 			delete(d.upstreams, e.ID)
+		case gatherer.ConfigurationChanged:
+			// A State ignores versions that are not newer.
+			d.version = max(d.version, e.Configuration.Version)
+		case gatherer.DomainEvacuated:
+			d.out[e.Domain] = e.Out
+		case gatherer.MembersChanged:
+			d.members = nil
+			for _, m := range e.Members {
+				d.members = append(d.members, m.VM)
+			}
+			slices.Sort(d.members)
 		}
 	}
-	clock, account := tiller.SystemClock(), accountant.New(1<<20, func(int64) {})
+	account := accountant.New(1<<20, func(int64) {})
+	system := tiller.SystemClock()
+	clock := tiller.Clock{Now: func() tiller.Millis { return system.Now() + k.passed }}
 	client := forwarder.New(clock, account, func(http.Header) string { return "" })
 	d.Follower = New(clock, platform.NewStore(k.address, account), client, logr.Discard(), map[string]string{"a": "r"},
-		cataloger.Member{VM: "vm-new"}, nil, NewTiming(0), Callbacks{Emit: emit, Lost: func() {}})
+		cataloger.Member{VM: "vm-new"}, nil, NewTiming(0), Callbacks{Emit: emit, Lost: func() { d.lost++ }})
 	server := httptest.NewServer(http.HandlerFunc(d.ServeChanges))
 	k.t.Cleanup(server.Close)
 	d.source = source{origin: fromPeer, member: cataloger.Member{Address: server.Listener.Addr().String()}, maxAge: tiller.Minute}
@@ -102,6 +124,7 @@
 
 // follow makes a daemon ask another one for changes once.
 func (k *knowledge) follow(d, other *known) {
+	d.readsStore = false
 	require.NoError(k.t, d.followRelay(k.ctx, other.source))
 	require.Empty(k.t, d.excludedUntil)
 }
@@ -168,16 +191,16 @@
 	k.register("i-left")
 	d := k.started()
 	s := k.daemon()
-	items, revision, err := s.store.Range(k.ctx, "", false)
+	items, position, err := s.store.Range(k.ctx, "", false)
 	require.NoError(t, err)
 	k.store.Remove("servers/i-left")
 	k.register("i-new")
 	items = slices.DeleteFunc(items, func(item platform.Item) bool { return item.Key == "servers/i-left" })
-	s.applyAll(items, revision, true)
-	changes, revision, err := s.store.Watch(k.ctx, "", revision, 1)
+	s.applyAll(items, position, true)
+	changes, position, err := s.store.Watch(k.ctx, "", position, 1)
 	require.NoError(t, err)
 	s.noteStoreAnswer()
-	s.applyAll(changes, revision, false)
+	s.applyAll(changes, position, false)
 	require.Equal(t, []string{"i-new", "i-stays"}, s.ids())
 	k.follow(d, s)
 	require.Equal(t, []string{"i-new", "i-stays"}, d.ids())
@@ -192,13 +215,13 @@
 	for i := range int64(entries) {
 		table.Apply(platform.Item{Key: fmt.Sprint(i), Revision: 2*entries - i})
 	}
-	table.Advance(2 * entries)
+	table.Advance(platform.Position{Revision: 2 * entries})
 	for i := range int64(entries) {
 		table.Apply(platform.Item{Key: fmt.Sprint(i), Revision: 4*entries - i})
 	}
-	table.Advance(4 * entries)
+	table.Advance(platform.Position{Revision: 4 * entries})
 	for after := int64(1); after < 4*entries; after += 100 {
-		update, _ := table.Since(after)
+		update, _ := table.Since(platform.Position{Revision: after})
 		changed := 0
 		for i := range int64(entries) {
 			if 4*entries-i > after {
@@ -215,14 +238,14 @@
 	table := NewTable()
 	table.Reset(30)
 	table.Apply(platform.Item{Key: "a", Revision: 55})
-	table.Advance(30)
+	table.Advance(platform.Position{Revision: 30})
 	table.Reset(52)
-	table.Advance(60)
-	update, _ := table.Since(53)
+	table.Advance(platform.Position{Revision: 60})
+	update, _ := table.Since(platform.Position{Revision: 53})
 	require.False(t, update.Whole)
 	require.Equal(t, []platform.Item{{Key: "a", Revision: 55}}, update.Items)
 	table.Reset(40)
-	update, _ = table.Since(45)
+	update, _ = table.Since(platform.Position{Revision: 45})
 	require.True(t, update.Whole, "changes up to revision 52 were missed")
 }
 
@@ -230,8 +253,8 @@
 func TestUpdateWithoutValidStatusIsNotApplied(t *testing.T) {
 	k := newKnowledge(t)
 	s, d := k.started(), k.daemon()
-	update, _ := s.table.Since(0)
-	body, err := s.encode(0, update)
+	update, _ := s.table.Since(platform.Position{Revision: 0})
+	body, err := s.encode(platform.Position{}, update)
 	require.NoError(t, err)
 	inside := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: 0\r\n%s: 0\r\nContent-Length: %d\r\n\r\n%s", ageHeader, holdHeader, len(body), body)
 	for _, head := range []string{"", "HTTP/1.1 000 Trouble\r\n\r\n", "HTTP/1.1 099 Trouble\r\n\r\n", "HTTP/1.1 101 Trouble\r\n\r\n"} {
--- a/follower/pause_test.go
+++ b/follower/pause_test.go
@@ -35,9 +35,9 @@
 		}
 		return items
 	}
-	f.applyAll(update(1), 800, true)
+	f.applyAll(update(1), platform.Position{Revision: 800}, true)
 	require.Zero(t, pauses)
-	f.applyAll(update(801), 1600, false)
+	f.applyAll(update(801), platform.Position{Revision: 1600}, false)
 	require.Equal(t, 1600, changes)
 	require.Equal(t, 800/applyBatch, pauses)
 }
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -19,6 +19,7 @@
 	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/accountant"
 	"github.com/carawaytiller/carawaytiller/cataloger"
+	"github.com/carawaytiller/carawaytiller/platform"
 )
 
 // ChangesPath is the path at which a daemon serves changes of the store to the daemons that follow it.
@@ -53,9 +54,9 @@
 // ServeChanges serves changes to a daemon that follows this one. If there are none, it waits for up to
 // relayWaitMillis, but not longer than until its data is too old for the caller.
 func (f *Follower) ServeChanges(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	after, err := f.requestedPosition(r.URL.Query())
 	if err != nil {
-		http.Error(w, "after is not a revision", http.StatusBadRequest)
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	stale, err := strconv.ParseInt(r.URL.Query().Get("stale"), 10, 64)
@@ -82,7 +83,7 @@
 	}
 	body, err := f.encode(after, update)
 	if err != nil {
-		f.log.Error(err, "Update cannot be encoded", "After", after)
+		f.log.Error(err, "Update cannot be encoded", "After", after.Revision, "Era", after.Era)
 		http.Error(w, "the update cannot be encoded", http.StatusInternalServerError)
 		return
 	}
@@ -94,12 +95,29 @@
 	_, _ = w.Write(body)
 }
 
+// requestedPosition returns the position that the query of a request for changes names. Daemons of earlier versions
+// name no era; they are answered as if they were in this daemon's.
+func (f *Follower) requestedPosition(q url.Values) (platform.Position, error) {
+	revision, err := strconv.ParseInt(q.Get("after"), 10, 64)
+	if err != nil {
+		return platform.Position{}, errors.Errorf("after is %q, want a revision", q.Get("after"))
+	}
+	if !q.Has("era") {
+		return platform.Position{Era: f.table.Position().Era, Revision: revision}, nil
+	}
+	era, err := strconv.ParseInt(q.Get("era"), 10, 64)
+	if err != nil {
+		return platform.Position{}, errors.Errorf("era is %q, want a whole number", q.Get("era"))
+	}
+	return platform.Position{Era: era, Revision: revision}, nil
+}
+
 // encode returns the compressed encoding of an update. It caches the last one, because the daemons
 // that follow this one mostly request the same update.
-func (f *Follower) encode(after int64, u Update) ([]byte, error) {
+func (f *Follower) encode(after platform.Position, u Update) ([]byte, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.encoded.body != nil && f.encoded.after == after && f.encoded.revision == u.Revision {
+	if f.encoded.body != nil && f.encoded.after == after && f.encoded.to == u.position() {
 		return f.encoded.body, nil
 	}
 	var b bytes.Buffer
@@ -113,14 +131,14 @@
 	if err := z.Close(); err != nil {
 		return nil, errors.Wrap(err, "compress update")
 	}
-	f.encoded = encodedUpdate{after: after, revision: u.Revision, body: b.Bytes()}
+	f.encoded = encodedUpdate{after: after, to: u.position(), body: b.Bytes()}
 	return f.encoded.body, nil
 }
 
-// encodedUpdate is the encoding of the update from one revision to another.
+// encodedUpdate is the encoding of the update from one position to another.
 type encodedUpdate struct {
-	after, revision int64
-	body            []byte
+	after, to platform.Position
+	body      []byte
 }
 
 // dataAge returns the time since the store's last answer to this daemon or to a daemon that it
@@ -212,8 +230,8 @@
 	if err == nil && update.Age >= from.maxAge {
 		err = errors.Errorf("its last answer from the store is %d ms old, the limit is %d ms", update.Age, from.maxAge)
 	}
-	if err == nil && update.Revision < f.table.Revision() {
-		err = errors.Errorf("its revision %d is older than the own revision %d", update.Revision, f.table.Revision())
+	if err == nil {
+		err = checkContinues(f.table.Position(), update)
 	}
 	if err != nil {
 		f.excludedUntil[m.VM] = f.clock.Now() + exclusion
@@ -222,15 +240,29 @@
 	}
 	f.applyUpdate(update)
 	if update.Whole {
-		f.log.Info("Read another daemon", "VM", m.VM, "Revision", update.Revision, "Keys", len(update.Items), "Age", update.Age)
+		f.log.Info("Read another daemon", "VM", m.VM, "Era", update.Era, "Revision", update.Revision, "Keys", len(update.Items), "Age", update.Age)
+	}
+	return nil
+}
+
+// checkContinues returns an error if an update does not lead on from a position: it is older, or its changes are of a
+// later era.
+func checkContinues(from platform.Position, u Update) error {
+	switch to := u.position(); {
+	case to.Before(from):
+		return errors.Errorf("its revision %d of era %d is older than the own revision %d of era %d", to.Revision, to.Era, from.Revision, from.Era)
+	case to.Era != from.Era && !u.Whole:
+		return errors.Errorf("its changes are of era %d, the own entries of era %d", to.Era, from.Era)
 	}
 	return nil
 }
 
 func (f *Follower) fetchUpdate(ctx context.Context, from source) (Update, error) {
 	var update Update
+	after := f.table.Position()
 	q := url.Values{
-		"after": {strconv.FormatInt(f.table.Revision(), 10)},
+		"after": {strconv.FormatInt(after.Revision, 10)},
+		"era":   {strconv.FormatInt(after.Era, 10)},
 		"stale": {strconv.FormatInt(int64(from.maxAge), 10)},
 	}
 	r := changesRequest(from.member.Address)
@@ -278,5 +310,5 @@
 	now := f.clock.Now()
 	f.contactAt.Store(int64(now - u.Age))
 	f.graceEnd.Store(max(f.graceEnd.Load(), int64(now+u.Hold)))
-	f.applyAll(u.Items, u.Revision, u.Whole)
+	f.applyAll(u.Items, u.position(), u.Whole)
 }
--- a/follower/simulation_test.go
+++ b/follower/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carawaytiller/carawaytiller/platform"
+	"github.com/carawaytiller/carawaytiller/platform/faker"
 )
 
 const (
@@ -37,6 +39,18 @@
 	states   map[string]state
 	daemons  []*known
 	steps    []string
+	// era is the store's era; 0 if it states none. past holds the states at the end of the eras before it, saved the
+	// copy from which the store comes back.
+	era   int64
+	past  map[int64]map[string]state
+	saved savedStore
+}
+
+// savedStore is a copy of the store with what is known of it.
+type savedStore struct {
+	copy     faker.Copy
+	revision int64
+	states   map[string]state
 }
 
 func newSimulation(t *testing.T, seed uint64) *simulation {
@@ -50,17 +64,35 @@
 		if s.random.IntN(3) == 0 {
 			s.change()
 		}
+		if s.era > 0 && s.random.IntN(60) == 0 {
+			s.restore()
+		}
 		s.store.ServeHTTP(w, r)
 	}))
 	t.Cleanup(server.Close)
 	s.address = server.Listener.Addr().String()
 	s.store.SetPages(3, func(int) int64 { return s.random.Int64N(maxBehind) })
+	s.past = make(map[int64]map[string]state)
+	s.save()
 	for range simulatedDaemons {
 		s.daemons = append(s.daemons, s.daemon())
 	}
 	return s
 }
 
+// save makes the copy from which the store comes back.
+func (s *simulation) save() {
+	s.saved = savedStore{copy: s.store.Copy(), revision: s.revision, states: maps.Clone(s.states)}
+}
+
+// restore lets the store come back from the latest copy.
+func (s *simulation) restore() {
+	s.store.Restore(s.saved.copy)
+	s.past[s.era] = s.states
+	s.era++
+	s.revision, s.states = s.saved.revision, maps.Clone(s.saved.states)
+}
+
 // change registers, changes or removes an upstream, or writes the other entries.
 func (s *simulation) change() {
 	id := fmt.Sprintf("i-%d", s.random.IntN(simulatedKeys))
@@ -93,13 +125,13 @@
 	note := func(format string, args ...any) {
 		s.steps = append(s.steps, fmt.Sprintf("%d: ", n)+fmt.Sprintf(format, args...))
 	}
-	otherAhead := other.table.Revision() > d.table.Revision()
+	otherAhead := d.table.Position().Before(other.table.Position())
 	switch {
-	case d.table.Revision() == 0 && otherAhead && s.random.IntN(2) == 0:
+	case d.table.Revision() == 0 && otherAhead && other.dataAge() < d.timing.MaxAge(0) && s.random.IntN(2) == 0:
 		require.True(s.t, d.followSeed(s.ctx, other.source.member.Address))
 		note("seed, revision %d", d.table.Revision())
 	case d.table.Revision() == 0:
-		require.NoError(s.t, d.readAll(s.ctx, true))
+		s.read(d, true)
 		note("read, revision %d", d.table.Revision())
 	case s.random.IntN(12) == 0:
 		s.daemons[n] = s.daemon()
@@ -117,21 +149,37 @@
 
 // watch lets a daemon watch the store, and read all entries if the history is gone.
 func (s *simulation) watch(d *known) {
-	items, revision, err := d.store.Watch(s.ctx, "", d.table.Revision(), 1)
-	if errors.Is(err, platform.ErrCompacted) {
-		require.NoError(s.t, d.readAll(s.ctx, false))
+	items, position, err := d.store.Watch(s.ctx, "", d.table.Position(), 1)
+	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrRestored) {
+		s.read(d, false)
 		return
 	}
 	require.NoError(s.t, err)
 	d.noteStoreAnswer()
-	d.applyAll(items, revision, false)
+	d.readsStore = true
+	d.applyAll(items, position, false)
+}
+
+// read lets a daemon read all entries, which fails if the store comes back from a copy meanwhile.
+func (s *simulation) read(d *known, stale bool) {
+	era := s.era
+	d.readsStore = true
+	if err := d.readAll(s.ctx, stale); s.era == era {
+		require.NoError(s.t, err)
+	}
 }
 
-// requireKnown checks that a daemon knows every change up to the revision that it claims to reflect.
+// requireKnown checks that a daemon knows every change up to the position that it claims to reflect. States of an
+// earlier era may still be kept.
 func (s *simulation) requireKnown(d *known, seed uint64) {
-	revision := d.table.Revision()
-	for id, last := range s.states {
-		if last.revision > revision {
+	revision, states := d.table.Revision(), s.states
+	if era := d.table.Position().Era; era < s.era {
+		states = s.past[era]
+	}
+	for id, last := range states {
+		_, missing := d.missingUntil[id]
+		_, kept := d.keptUntil["servers/"+id]
+		if last.revision > revision || missing || kept {
 			continue
 		}
 		u, ok := d.upstreams[id]
@@ -156,3 +204,38 @@
 		}
 	}
 }
+
+// Guards against any order of returns of the store from copies, in addition, after which a daemon does not know a change
+// of its era, or keeps a state of an earlier one for good.
+func TestDaemonsKnowAllChangesOfTheirEra(t *testing.T) {
+	for seed := range uint64(60) {
+		s := newSimulation(t, seed)
+		s.era = 1
+		s.store.SetEra(s.era)
+		for range simulatedSteps {
+			for range s.random.IntN(3) {
+				s.change()
+			}
+			switch s.random.IntN(30) {
+			case 0:
+				s.store.Compact()
+			case 1, 2:
+				s.save()
+			case 3, 4:
+				s.restore()
+			case 5:
+				s.passed += reregisterMillis
+			}
+			d := s.step()
+			d.removeExpired()
+			s.requireKnown(d, seed)
+		}
+		for _, d := range s.daemons {
+			s.passed += reregisterMillis
+			d.removeExpired()
+			require.Empty(t, d.keptUntil)
+			require.Empty(t, d.missingUntil)
+			s.requireKnown(d, seed)
+		}
+	}
+}
--- a/follower/start.go
+++ b/follower/start.go
@@ -61,7 +61,7 @@
 	}
 	f.applyUpdate(update)
 	f.emitRead()
-	f.log.Info("Read a seed", "Address", address, "Revision", update.Revision, "Keys", len(update.Items), "Age", update.Age)
+	f.log.Info("Read a seed", "Address", address, "Era", update.Era, "Revision", update.Revision, "Keys", len(update.Items), "Age", update.Age)
 	return true
 }
 
--- a/follower/table_test.go
+++ b/follower/table_test.go
@@ -14,6 +14,9 @@
 	return t.Apply(platform.Item{Key: key, Revision: revision})
 }
 
+// at returns a revision of the first era.
+func at(revision int64) platform.Position { return platform.Position{Revision: revision} }
+
 // Guards against answers of the store that arrive out of order: an older state of a key must not
 // replace a newer one.
 func TestTableIgnoresOlderStates(t *testing.T) {
@@ -32,13 +35,13 @@
 	table := follower.NewTable()
 	put(table, "a", 2)
 	put(table, "b", 3)
-	table.Advance(3)
-	update, changed := table.Since(2)
+	table.Advance(at(3))
+	update, changed := table.Since(at(2))
 	require.False(t, update.Whole)
 	require.Len(t, update.Items, 1)
 	require.EqualValues(t, 3, update.Revision)
 
-	update, _ = table.Since(3)
+	update, _ = table.Since(at(3))
 	require.Empty(t, update.Items)
 	put(table, "c", 4)
 	select {
@@ -46,19 +49,19 @@
 		t.Fatal("Since signalled a change before Advance")
 	default:
 	}
-	table.Advance(4)
+	table.Advance(at(4))
 	<-changed
 
-	update, _ = table.Since(0)
+	update, _ = table.Since(at(0))
 	require.True(t, update.Whole)
 	require.Len(t, update.Items, 3)
 
 	table.Reset(10)
 	put(table, "d", 11)
-	table.Advance(11)
-	update, _ = table.Since(4)
+	table.Advance(at(11))
+	update, _ = table.Since(at(4))
 	require.True(t, update.Whole, "changes up to revision 10 were missed")
-	update, _ = table.Since(10)
+	update, _ = table.Since(at(10))
 	require.False(t, update.Whole)
 }
 
@@ -68,11 +71,11 @@
 	for i := range 3000 {
 		put(table, fmt.Sprint(i%10), int64(i+1))
 	}
-	table.Advance(3000)
-	update, _ := table.Since(1)
+	table.Advance(at(3000))
+	update, _ := table.Since(at(1))
 	require.True(t, update.Whole)
 	require.Len(t, update.Items, 10)
-	update, _ = table.Since(2990)
+	update, _ = table.Since(at(2990))
 	require.False(t, update.Whole)
 	require.Len(t, update.Items, 10)
 }
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -131,6 +131,30 @@
 	require.True(t, inForce("/newer/")())
 }
 
+// Guards against a store that comes back from a copy, after which no configuration came into force on any daemon again.
+func TestConfigurationAfterReturnFromCopy(t *testing.T) {
+	f := newFleet(t)
+	f.store.SetEra(1)
+	for version := 2; version < 10; version += 4 {
+		c := f.store.Copy()
+		for i := range 3 {
+			f.configure(version+i, "")
+		}
+		time.Sleep(500 * time.Millisecond)
+		f.store.SetDown(true)
+		time.Sleep(200 * time.Millisecond)
+		f.store.Restore(c)
+		f.store.SetDown(false)
+		prefix := fmt.Sprintf("/after-%d/", version)
+		f.configure(version+3, prefix)
+		f.daemons = append(f.daemons, f.start("south-a", fmt.Sprintf("vm-south-%d", version)))
+		for _, d := range f.daemons {
+			f.waitServed(d, prefix+"1")
+		}
+		f.waitAnnounced()
+	}
+}
+
 // An upstream whose entry can no longer be parsed receives no more requests.
 func TestUpstreamWithInvalidEntry(t *testing.T) {
 	f := newFleet(t)
