Set the timer again after it has fired with nothing to do

Callers: a daemon with little traffic held requests whose upstream was full.

Cause: the executor set its timer only if the next time differed from the last one that it had set, and kept that time after the timer had fired. Work that became due in the millisecond in which the timer had fired with nothing to do (a probe that failed at once) looked as if its timer were outstanding. In a logged trial the timer fired at ...260 with no next time, the probe's end made 260 the next time in the same millisecond, and no timer was set for as long as the run was logged.

Change: gatherer.Alarm keeps whether a timer is outstanding. A timer that has fired is none, so the next time is always set. The simulation has one timer a daemon and sets it as the executor does; before, it set one after each step and could not lose any.

Ruled out: a lost event of the probe (it is in the log), and a query's own timer (its time is cleared when it fires).

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -76,7 +76,7 @@
 	mu          sync.Mutex
 	state       *gatherer.State
 	timer       *time.Timer
-	timerAt     tiller.Millis
+	alarm       gatherer.Alarm
 	lastQuery   uint64
 	pending     map[uint64]*QueryHandle
 	cancelFuncs map[uint64]context.CancelFunc
@@ -151,12 +151,20 @@
 		x.observer.Effect(effect)
 		x.execute(effect)
 	}
+	if _, fired := e.(gatherer.TimerFired); fired {
+		x.alarm = x.alarm.WithFired()
+	}
+	x.setTimer(now)
+}
+
+// setTimer sets the timer for the next work of the state, unless it is set for that time already.
+func (x *Executor) setTimer(now tiller.Millis) {
 	at, ok := x.state.NextTimer()
-	if ok && at != x.timerAt {
-		x.timerAt = at
-		x.timer.Reset(max(at-now, 0).Duration())
+	if !ok {
+		return
 	}
-	if _, fired := e.(gatherer.TimerFired); fired && ok {
+	var set bool
+	if x.alarm, set = x.alarm.WithDue(at); set {
 		x.timer.Reset(max(at-now, 0).Duration())
 	}
 }
--- a/gatherer/simulation_test.go
+++ b/gatherer/simulation_test.go
@@ -8,6 +8,8 @@
 	"slices"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	tiller "github.com/carawaytiller/carawaytiller"
 	"github.com/carawaytiller/carawaytiller/cataloger"
 	"github.com/carawaytiller/carawaytiller/gatherer"
@@ -59,7 +61,10 @@
 type daemon struct {
 	vm, region string
 	state      *gatherer.State
-	pending    map[uint64]*pendingAttempt
+	// alarm is that of the daemon's timer, timers the number of times that it was set.
+	alarm   gatherer.Alarm
+	timers  int
+	pending map[uint64]*pendingAttempt
 	// replyTo holds, by inbound sub-query, the function that delivers the reply.
 	replyTo map[uint64]func(gatherer.SubReply)
 	// partTo holds, by inbound sub-query, the function that delivers the first part of the reply.
@@ -265,13 +270,29 @@
 	for _, effect := range d.state.Step(sim.now, e) {
 		sim.execute(d, effect)
 	}
-	if at, ok := d.state.NextTimer(); ok {
+	if _, fired := e.(gatherer.TimerFired); fired {
+		d.alarm = d.alarm.WithFired()
+	}
+	sim.setTimer(d)
+}
+
+// setTimer sets the timer of a daemon as the executor does.
+func (sim *simulation) setTimer(d *daemon) {
+	at, ok := d.state.NextTimer()
+	if !ok {
+		return
+	}
+	var set bool
+	if d.alarm, set = d.alarm.WithDue(at); set {
+		d.timers++
+		timer := d.timers
 		sim.schedule(max(at-sim.now, 0), func() {
-			if next, ok := d.state.NextTimer(); ok && next <= sim.now {
+			if timer == d.timers {
 				sim.step(d, gatherer.TimerFired{})
 			}
 		})
 	}
+	require.True(sim.t, d.alarm.Covers(at), "work of daemon %s is due at %d without a timer", d.vm, at)
 }
 
 // isCut reports whether nothing passes between two regions.
