Send every missed report again, whenever it was missed

Callers: requests that crash upstreams could still be passed on by a daemon that had missed the report which blocks them.

Cause: only the earliest time of background work is kept, and the run at that time did not set the later ones again. Of two daemons that missed a report at different times only the first got it again, unless other work followed. Shown by a test only, not seen on real processes.

Change: each run schedules all work that remains (scheduleRest). Missed reports go out when they are due, also when other reports do. After each step of each simulation State.UnscheduledWork checks that no query and no background work is due without a timer.

--- a/gatherer/report.go
+++ b/gatherer/report.go
@@ -91,30 +91,51 @@
 		announce = announce || r.unannounced
 		r.unannounced = false
 	}
-	var recipients []*peer
-	switch {
-	case announce || s.announceBlocked:
-		recipients = s.sortedPeers()
-	case running && (now >= s.reportedAt+quietMillis || s.observedRequests() != s.reportedRequests),
-		s.reportSuspects && len(s.suspectReports(now)) > 0:
-		recipients = s.collectors(now)
-	case s.storeRead && !s.heardReport && len(s.peers) > 0:
-		// A daemon that has just started asks what the others know.
-		recipients = s.collectors(now)
-		s.scheduleBackground(now + firstReportMillis)
-	default:
-		recipients = s.missedReports(now)
-	}
+	recipients := s.recipients(now, running, announce)
 	s.reportSuspects, s.announceBlocked = false, false
 	if len(recipients) > 0 {
 		s.reportedAt, s.reportedRequests = now, s.observedRequests()
 	}
 	for _, p := range recipients {
+		p.missedReport = false
+	}
+	for _, p := range append(recipients, s.missedReports(now)...) {
 		s.emit(SendReport{Member: p.Member, Report: s.Report(now)})
 	}
+	s.scheduleRest(now, running)
+}
+
+// recipients returns the daemons that get a report now. running is true while a rollout is in progress, announce if
+// one was decided.
+func (s *State) recipients(now tiller.Millis, running, announce bool) []*peer {
+	switch {
+	case announce || s.announceBlocked:
+		return s.sortedPeers()
+	case running && (now >= s.reportedAt+quietMillis || s.observedRequests() != s.reportedRequests),
+		s.reportSuspects && len(s.suspectReports(now)) > 0,
+		s.awaitsFirstReport():
+		return s.collectors(now)
+	}
+	return nil
+}
+
+// awaitsFirstReport reports whether this daemon has just started and asks the others what they know.
+func (s *State) awaitsFirstReport() bool { return s.storeRead && !s.heardReport && len(s.peers) > 0 }
+
+// scheduleRest schedules all background work that remains. Only the earliest time is kept, so a run at that time must
+// set the later ones again.
+func (s *State) scheduleRest(now tiller.Millis, running bool) {
+	if s.awaitsFirstReport() {
+		s.scheduleBackground(now + firstReportMillis)
+	}
 	if running {
 		s.scheduleBackground(now + s.reportInterval())
 	}
+	for _, p := range s.peers {
+		if p.missedReport {
+			s.scheduleBackground(max(p.reportsFrom, now+1))
+		}
+	}
 	for _, r := range s.rollouts {
 		if r.needsPublishing() {
 			s.scheduleBackground(max(r.publishAt, now+1))
@@ -242,13 +263,15 @@
 // missedReports returns the daemons that did not answer their last report and may answer now. They are of no
 // interest once nothing is left to tell them.
 func (s *State) missedReports(now tiller.Millis) []*peer {
-	if report := s.Report(now); len(report.Rollouts) == 0 && len(report.Suspects) == 0 {
-		return nil
-	}
+	report := s.Report(now)
+	isEmpty := len(report.Rollouts) == 0 && len(report.Suspects) == 0
 	var missed []*peer
 	for _, p := range s.sortedPeers() {
-		if p.missedReport && now >= p.reportsFrom {
-			p.missedReport = false
+		if !p.missedReport || now < p.reportsFrom {
+			continue
+		}
+		p.missedReport = false
+		if !isEmpty {
 			missed = append(missed, p)
 		}
 	}
--- a/gatherer/simulation_test.go
+++ b/gatherer/simulation_test.go
@@ -274,6 +274,7 @@
 		d.alarm = d.alarm.WithFired()
 	}
 	sim.setTimer(d)
+	require.Empty(sim.t, d.state.UnscheduledWork(sim.now), "after %T at daemon %s", e, d.vm)
 }
 
 // setTimer sets the timer of a daemon as the executor does.
