Ask the others also if they become known after the first read

Callers: a daemon that started while no other one was announced did not learn which requests crash upstreams until another daemon reported something new.

Cause: the question of a daemon that has just started was scheduled once, when the store had been read. Without another daemon at that time it was dropped, and new members did not schedule it. Shown by a test only.

Change: new members schedule the question while it was not answered.

--- a/gatherer/export_test.go
+++ b/gatherer/export_test.go
@@ -58,6 +58,9 @@
 	if s.announceBlocked {
 		require(now, "announcement of blocked requests")
 	}
+	if s.awaitsFirstReport() {
+		require(now+firstReportMillis, "question of a daemon that has just started")
+	}
 	for _, p := range s.sortedPeers() {
 		if p.missedReport {
 			require(p.reportsFrom, "report that %s missed", p.VM)
--- a/gatherer/fleet.go
+++ b/gatherer/fleet.go
@@ -61,6 +61,9 @@
 	s.peers, s.peersByRegion = peers, byRegion
 	s.gatherersByGroup = make(map[groupKey][]*peer)
 	s.shareBudgets()
+	if s.awaitsFirstReport() {
+		s.scheduleBackground(now + firstReportMillis)
+	}
 }
 
 // updateBounds replaces the fleet-wide bounds. Budgets keep their current balance, up to the new limits.
--- a/gatherer/report_test.go
+++ b/gatherer/report_test.go
@@ -65,3 +65,18 @@
 	r.run(10_000)
 	require.Equal(t, map[string][]tiller.Millis{"vm-2": {1000, 3100}, "vm-3": {1000, 3400}}, r.sentAt)
 }
+
+// Guards against a daemon that has read the store before it knows of any other daemon and never asks the others what
+// they know.
+func TestStartedDaemonAsksDaemonsThatItLearnsOfLater(t *testing.T) {
+	r := newReporter(t)
+	r.step(1000, gatherer.StoreRead{})
+	r.run(2000)
+	r.joinPeers(2500)
+	r.run(4000)
+	asked := append(r.sentAt["vm-2"], r.sentAt["vm-3"]...)
+	require.NotEmpty(t, asked)
+	r.step(4000, gatherer.ReportReceived{Report: gatherer.Report{VM: "vm-2"}})
+	r.run(10_000)
+	require.Len(t, append(r.sentAt["vm-2"], r.sentAt["vm-3"]...), len(asked))
+}
