Emit a Wake again after one that came before its time

Callers: none were affected on real processes, as far as is known: the timer of the runner does not fire early. Any other driver that does would leave the reducer without a wake-up.

Cause: the reducer took a Wake for outstanding until its time had come, also when TimeAdvanced had used it up before.

Change: TimeAdvanced uses up the outstanding Wake. The harness checks after each step that a Wake is outstanding whenever a timer or a lease tick is due.

Result: without the change the check fails in TestRedirects, TestAttemptClippedByLeaseIsResent, TestStepKeepsInvariants and others; all pass now.

--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -39,6 +39,8 @@
 	lastSequence uint64
 	// wakeCount counts the Wake effects. Only the last one leads to a TimeAdvanced event.
 	wakeCount uint64
+	// wakeAt is the time of the outstanding Wake; 0 if there is none.
+	wakeAt    tiller.Millis
 	steps     int
 	nextRef   uint64
 	results   map[uint64]tiller.Result
@@ -87,6 +89,7 @@
 func (s *sim) step(e reducer.Event) {
 	s.steps++
 	effects := reducer.Step(s.state, e)
+	s.requireWake(e, effects)
 	if s.intercept != nil {
 		effects = s.intercept(effects)
 	}
@@ -100,6 +103,21 @@
 	}
 }
 
+// requireWake checks that a Wake is outstanding whenever a timer or a lease tick is due. TimeAdvanced uses up the
+// outstanding one, and a Wake replaces it.
+func (s *sim) requireWake(e reducer.Event, effects []reducer.Effect) {
+	if _, ok := e.(reducer.TimeAdvanced); ok {
+		s.wakeAt = 0
+	}
+	for _, w := range effectsOf[reducer.Wake](effects) {
+		s.wakeAt = w.Time
+	}
+	if at, ok := s.state.NextDue(); ok {
+		at = max(at, s.now+1)
+		require.True(s.t, s.wakeAt > 0 && s.wakeAt <= at, "after %T: work is due at %d, the outstanding Wake is at %d", e, at, s.wakeAt)
+	}
+}
+
 func (s *sim) execute(effect reducer.Effect) {
 	switch e := effect.(type) {
 	case reducer.SendAttempt:
--- a/reducer/step.go
+++ b/reducer/step.go
@@ -17,7 +17,8 @@
 func (s *State) beginStep(e Event) {
 	s.now = max(s.now, e.At())
 	s.leaseVersion++
-	if s.wakeAt <= s.now {
+	// TimeAdvanced uses up the outstanding Wake, also if it comes before its time.
+	if _, fired := e.(TimeAdvanced); fired || s.wakeAt <= s.now {
 		s.wakeAt = 0
 	}
 }
